--- /dev/null
+++ b/include/citronloft/fleet/config_loader.hpp
@@ -0,0 +1,19 @@
+/// @file
+/// @brief Reads the records that a manifest names from the store.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "citronloft/fleet/config_manifest.hpp"
+#include "citronloft/fleet/object_store.hpp"
+
+namespace citronloft {
+
+/// @brief Receives the records of a manifest, checked against its digest.
+using RecordsDone = std::function<void(absl::StatusOr<ConfigRecords>)>;
+
+/// @brief Reads all chunks of a manifest one after the other.
+auto loadRecords(std::shared_ptr<ObjectStore> store, const ConfigManifest& manifest, RecordsDone done) -> void;
+
+} // namespace citronloft
--- /dev/null
+++ b/include/citronloft/fleet/fleet_host.hpp
@@ -0,0 +1,90 @@
+/// @file
+/// @brief All fleet components of one host, driven by ticks and messages; the same in the daemon and in virtual time.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "citronloft/fleet/claim_registry.hpp"
+#include "citronloft/fleet/config_follower.hpp"
+#include "citronloft/fleet/membership.hpp"
+#include "citronloft/fleet/rate_limiter.hpp"
+#include "citronloft/fleet/share_holder.hpp"
+#include "citronloft/fleet/zone_steward.hpp"
+
+namespace citronloft {
+
+/// @brief Options of a host's fleet components.
+struct FleetHostOption {
+    MembershipOption membership;
+    LeaseTerms lease;
+    RateLimiterOption rates;
+};
+
+/// @brief What a host needs from its surroundings; all outlive it.
+struct FleetSurroundings {
+    const Clock& clock;
+    PeerTransport& transport;
+    std::shared_ptr<ObjectStore> store;
+    std::shared_ptr<ConfigFetcher> fetcher;
+};
+
+/// @brief Membership, leases, rates and configuration of one host.
+class FleetHost {
+public:
+    /// @param inForce called whenever a newer configuration has been put in force.
+    FleetHost(FleetHostOption option, HostEntry self, FleetSurroundings surroundings, std::uint64_t seed,
+        ConfigFollower::InForce inForce);
+    ~FleetHost();
+    FleetHost(const FleetHost&) = delete;
+    auto operator=(const FleetHost&) -> FleetHost& = delete;
+
+    /// @brief Runs all that is due; to be called every 20 ms or so.
+    auto tick() -> void;
+
+    /// @brief Takes in a message of another host.
+    auto receive(const Address& from, const PeerMessage& message) -> void;
+
+    /// @brief Begins a planned stop: shares and roles are handed over.
+    auto leave() -> void;
+
+    /// @return whether nothing is left to hand over.
+    [[nodiscard]] auto hasHandedOver() const -> bool;
+
+    auto membership() -> Membership& { return this->members; }
+    auto rates() -> RateLimiter& { return this->limiter; }
+    auto claims() -> ClaimRegistry& { return *this->claimRegistry; }
+    auto config() -> ConfigFollower& { return *this->follower; }
+    [[nodiscard]] auto shares() const -> const ShareHolder& { return this->holder; }
+    [[nodiscard]] auto steward() const -> const ZoneSteward& { return *this->zoneSteward; }
+
+    /// @return part of the zone's slots that this host holds, from 0 to 1.
+    [[nodiscard]] auto zonePart() const -> double;
+
+private:
+    class LenderList;
+
+    auto putInForce(const std::shared_ptr<const ActiveConfig>& active) -> void;
+
+    FleetSurroundings surroundings;
+    Membership members;
+    std::unique_ptr<LenderList> lenders;
+    ShareHolder holder;
+    RateLimiter limiter;
+    std::shared_ptr<ZoneSteward> zoneSteward;
+    std::shared_ptr<ConfigFollower> follower;
+    std::shared_ptr<ClaimRegistry> claimRegistry;
+    ConfigFollower::InForce inForce;
+};
+
+/// @return the bucket's name of a team's rate.
+auto teamBucketName(const std::string& team) -> std::string;
+
+/// @return the bucket's name of a limit on requests or bytes that move between two regions.
+auto shiftBucketName(const std::string& from, const std::string& to, bool bytes) -> std::string;
+
+/// @return the buckets of a configuration, as zone `zone` divides them.
+auto bucketsOf(const Config& config, const std::string& zone) -> std::vector<BucketSpec>;
+
+} // namespace citronloft
--- /dev/null
+++ b/include/citronloft/fleet/messages.hpp
@@ -0,0 +1,172 @@
+/// @file
+/// @brief Typed messages between hosts.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "citronloft/base/address.hpp"
+#include "citronloft/policy/host_lifecycle.hpp"
+#include "citronloft/policy/shares.hpp"
+
+namespace citronloft {
+
+/// @brief Free capacity of one target pool as a host sees it.
+struct PoolHeadroom {
+    /// Low half of bucketId(pool name).
+    std::uint32_t pool = 0;
+    /// Requests that the host could start now.
+    std::uint16_t freeSlots = 0;
+
+    template <typename Archive> auto serialize(Archive& archive) -> void { archive(this->pool, this->freeSlots); }
+};
+
+/// @brief What a host says of itself; only the host itself raises `counter`.
+struct HostEntry {
+    /// Random number of this process's life.
+    std::uint64_t incarnation = 0;
+    std::string zone;
+    std::string ip;
+    std::uint16_t peerPort = 0;
+    std::uint16_t servicePort = 0;
+    std::uint16_t statusPort = 0;
+    HostState state = HostState::Joining;
+    /// Raised with every heartbeat.
+    std::uint32_t counter = 0;
+    std::uint64_t configVersion = 0;
+    /// Epoch that this host holds as steward; 0 if it is none.
+    std::uint32_t stewardEpoch = 0;
+    /// Greatest steward epoch of the zone that the host knows.
+    std::uint32_t knownEpoch = 0;
+    /// Whether the platform answered this host lately.
+    bool storeReachable = false;
+    std::vector<PoolHeadroom> headroom;
+
+    [[nodiscard]] auto peerAddress() const -> Address { return { this->ip, this->peerPort }; }
+    [[nodiscard]] auto serviceAddress() const -> Address { return { this->ip, this->servicePort }; }
+
+    template <typename Archive> auto serialize(Archive& archive) -> void
+    {
+        archive(this->incarnation, this->zone, this->ip, this->peerPort, this->servicePort, this->statusPort,
+            this->state, this->counter, this->configVersion, this->stewardEpoch, this->knownEpoch, this->storeReachable,
+            this->headroom);
+    }
+};
+
+/// @brief A zone's live hosts as one of its delegates vouches for them.
+struct ZoneSummary {
+    std::string zone;
+    std::uint64_t publisher = 0;
+    std::uint32_t counter = 0;
+    std::vector<HostEntry> hosts;
+
+    template <typename Archive> auto serialize(Archive& archive) -> void
+    {
+        archive(this->zone, this->publisher, this->counter, this->hosts);
+    }
+};
+
+/// @brief Heartbeat: the sender, zone members that it has heard of, and summaries of zones.
+struct GossipMessage {
+    HostEntry sender;
+    std::vector<HostEntry> members;
+    std::vector<ZoneSummary> zones;
+    /// Age of the sender's last sign that its configuration is the newest.
+    std::uint32_t configAgeMs = 0;
+
+    template <typename Archive> auto serialize(Archive& archive) -> void
+    {
+        archive(this->sender, this->members, this->zones, this->configAgeMs);
+    }
+};
+
+/// @brief A host asks its zone's steward to confirm its slots.
+struct RenewRequest {
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    bool leaving = false;
+    /// Slots that the host may use or has lent from; all others it gives up.
+    std::vector<SlotRange> held;
+
+    template <typename Archive> auto serialize(Archive& archive) -> void
+    {
+        archive(this->incarnation, this->sequence, this->leaving, this->held);
+    }
+};
+
+/// @brief The steward's confirmation; valid for the host lease from the time the request was sent.
+struct RenewGrant {
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    std::uint32_t epoch = 0;
+    std::vector<SlotRange> slots;
+
+    template <typename Archive> auto serialize(Archive& archive) -> void
+    {
+        archive(this->incarnation, this->sequence, this->epoch, this->slots);
+    }
+};
+
+/// @brief Micro-tokens of one bucket in an ask or a grant.
+struct LoanEntry {
+    std::uint64_t bucket = 0;
+    std::int64_t amount = 0;
+
+    template <typename Archive> auto serialize(Archive& archive) -> void { archive(this->bucket, this->amount); }
+};
+
+/// @brief A loan that has ended at the borrower; `returned` micro-tokens of it were not spent.
+struct LoanSettlement {
+    std::uint64_t bucket = 0;
+    std::uint64_t sequence = 0;
+    std::int64_t returned = 0;
+
+    template <typename Archive> auto serialize(Archive& archive) -> void
+    {
+        archive(this->bucket, this->sequence, this->returned);
+    }
+};
+
+/// @brief Asks a peer for tokens and settles earlier loans; without entries it only settles.
+struct LoanAsk {
+    std::uint64_t borrower = 0;
+    std::uint64_t sequence = 0;
+    std::vector<LoanEntry> entries;
+    std::vector<LoanSettlement> settlements;
+
+    template <typename Archive> auto serialize(Archive& archive) -> void
+    {
+        archive(this->borrower, this->sequence, this->entries, this->settlements);
+    }
+};
+
+/// @brief Answer to an ask, with an entry for each bucket asked for, perhaps of amount 0.
+struct LoanGrant {
+    std::uint64_t lender = 0;
+    std::uint64_t sequence = 0;
+    std::vector<LoanEntry> entries;
+
+    template <typename Archive> auto serialize(Archive& archive) -> void
+    {
+        archive(this->lender, this->sequence, this->entries);
+    }
+};
+
+/// @brief Any message between hosts.
+using PeerMessage = std::variant<GossipMessage, RenewRequest, RenewGrant, LoanAsk, LoanGrant>;
+
+/// @brief Sends messages to other hosts; they may be lost, doubled, reordered or late.
+class PeerTransport {
+public:
+    virtual ~PeerTransport() = default;
+
+    /// @brief Sends a message; there is no sign of its arrival.
+    virtual auto send(const Address& to, const PeerMessage& message) -> void = 0;
+};
+
+/// @brief Largest datagram in bytes; a longer one is dropped by the sender and counted.
+inline constexpr auto greatestDatagramBytes = std::size_t { 16 * 1024 };
+
+} // namespace citronloft
--- /dev/null
+++ b/include/citronloft/fleet/rate_limiter.hpp
@@ -0,0 +1,165 @@
+/// @file
+/// @brief Admits requests under fleet-wide rates: own shares first, then loans from peers.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "citronloft/fleet/lease_terms.hpp"
+#include "citronloft/fleet/messages.hpp"
+#include "citronloft/fleet/peer_directory.hpp"
+#include "citronloft/policy/escrow_bucket.hpp"
+
+namespace citronloft {
+
+/// @brief Which peers a host borrows from; the first two are the baselines of the measurements.
+enum class LendingStrategy : std::uint8_t { None, Zone, Fleet };
+
+/// @brief Limits of borrowing.
+struct RateLimiterOption {
+    LendingStrategy strategy = LendingStrategy::Fleet;
+    /// Demand that a host tries to have tokens for.
+    Duration horizon = std::chrono::milliseconds { 250 };
+    /// Least time between two rounds of asks for one bucket.
+    Duration askInterval = std::chrono::milliseconds { 40 };
+    /// Greatest time that a request waits for loans.
+    Duration greatestWait = std::chrono::milliseconds { 400 };
+    /// After this an unanswered ask counts as refused.
+    Duration askTimeout = std::chrono::milliseconds { 250 };
+    /// Time in which new requests are refused at once after every peer has been asked in vain.
+    Duration emptyInterval = std::chrono::milliseconds { 100 };
+    std::size_t fanout = 8;
+    std::size_t greatestWaiting = 256;
+};
+
+/// @brief Answer to an acquisition.
+struct RateDecision {
+    bool admitted = false;
+    /// True if loans had to be waited for.
+    bool waited = false;
+    /// Suggested time before the next try of a refused request.
+    Duration retryAfter {};
+};
+
+/// @brief Counts of a limiter, by reason.
+struct RateLimiterStats {
+    std::uint64_t admittedAtOnce = 0;
+    std::uint64_t admittedAfterLoan = 0;
+    std::uint64_t refusedEmpty = 0;
+    std::uint64_t refusedLate = 0;
+    std::uint64_t asksSent = 0;
+    std::uint64_t asksReceived = 0;
+    std::uint64_t loansGranted = 0;
+};
+
+/// @brief All buckets of one host.
+class RateLimiter {
+public:
+    using Done = std::function<void(RateDecision)>;
+
+    RateLimiter(RateLimiterOption option, LeaseTerms terms, std::uint64_t incarnation, const PeerDirectory& peers,
+        PeerTransport& transport);
+
+    /// @brief Puts the buckets of a configuration in force; buckets that stay keep their tokens.
+    auto setBuckets(const std::vector<BucketSpec>& specs, TimePoint now) -> void;
+
+    /// @brief Sets the slots that may be used from now on.
+    auto setSlots(std::vector<SlotRange> slots, TimePoint now) -> void;
+
+    /// @brief Takes one token, or waits for loans until `deadline` at most.
+    /// @param done called once, perhaps before acquire() returns.
+    /// @return id for cancel(); 0 if `done` has been called already.
+    auto acquire(std::uint64_t bucket, std::int64_t amount, TimePoint deadline, TimePoint now, Done done)
+        -> std::uint64_t;
+
+    /// @brief Takes tokens only if they are here now.
+    auto tryAcquire(std::uint64_t bucket, std::int64_t amount, TimePoint now) -> bool;
+
+    /// @brief Forgets a waiting acquisition without calling `done`.
+    auto cancel(std::uint64_t id) -> void;
+
+    /// @brief Borrows ahead, settles loans and ends waits; to be called every 20 ms or so.
+    auto tick(TimePoint now) -> void;
+
+    /// @brief Lends to a peer.
+    auto receive(const LoanAsk& ask, const Address& from, TimePoint now) -> void;
+
+    /// @brief Takes a loan in.
+    auto receive(const LoanGrant& grant, TimePoint now) -> void;
+
+    [[nodiscard]] auto stats() const -> const RateLimiterStats& { return this->counts; }
+
+    /// @return micro-tokens of a bucket that can be taken now.
+    auto available(std::uint64_t bucket, TimePoint now) -> std::int64_t;
+
+private:
+    struct Waiting {
+        std::uint64_t id = 0;
+        std::int64_t amount = 0;
+        TimePoint deadline;
+        Done done;
+    };
+
+    struct Bucket {
+        explicit Bucket(TimePoint now)
+            : escrow(now)
+        {
+        }
+
+        BucketSpec spec;
+        EscrowBucket escrow;
+        /// Micro-tokens per second, smoothed.
+        double demand = 0;
+        std::int64_t demandSinceTick = 0;
+        std::deque<Waiting> waiting;
+        /// Lenders of the present sweep that have not been asked yet.
+        std::vector<Lender> unasked;
+        bool isSweeping = false;
+        std::size_t openAsks = 0;
+        TimePoint nextAskAt {};
+        TimePoint emptyUntil {};
+    };
+
+    struct OpenAsk {
+        std::uint64_t lender = 0;
+        std::vector<std::uint64_t> buckets;
+        TimePoint expiresAt;
+        TimePoint countsUntil;
+        bool counts = true;
+    };
+
+    auto updateDemand(Bucket& bucket, Duration elapsed) const -> void;
+    [[nodiscard]] auto missing(Bucket& bucket, TimePoint now) const -> std::int64_t;
+    auto askFor(Bucket& bucket, TimePoint now) -> void;
+    auto sendAsks(TimePoint now) -> void;
+    auto collectSettlements(Bucket& bucket, TimePoint now) -> void;
+    auto expireAsks(TimePoint now) -> void;
+    auto closeAsk(OpenAsk& ask) -> void;
+    auto serveWaiting(Bucket& bucket, TimePoint now) -> void;
+    auto endHopelessWaits(Bucket& bucket, TimePoint now) -> void;
+    auto refuse(Bucket& bucket, const Done& done, std::int64_t amount, bool late, TimePoint now) -> void;
+    auto find(std::uint64_t bucket) -> Bucket*;
+
+    RateLimiterOption option;
+    LeaseTerms terms;
+    std::uint64_t incarnation;
+    const PeerDirectory& peers;
+    PeerTransport& transport;
+    std::unordered_map<std::uint64_t, std::unique_ptr<Bucket>> buckets;
+    std::vector<SlotRange> slots;
+    std::map<std::uint64_t, OpenAsk> openAsks;
+    /// Messages under way to each lender in this tick.
+    std::map<std::uint64_t, LoanAsk> outgoing;
+    std::unordered_map<std::uint64_t, std::uint64_t> newestAskOf;
+    std::uint64_t nextSequence = 1;
+    std::uint64_t nextId = 1;
+    TimePoint lastTickAt {};
+    RateLimiterStats counts;
+};
+
+} // namespace citronloft
--- /dev/null
+++ b/programs/citronloftd/components.cpp
@@ -0,0 +1,144 @@
+#include "components.hpp"
+
+#include <boost/asio/detached.hpp>
+
+#include "citronloft/base/log.hpp"
+
+namespace citronloft {
+
+namespace {
+
+constexpr auto tickInterval = std::chrono::milliseconds { 20 };
+constexpr auto probeInterval = std::chrono::milliseconds { 1000 };
+
+} // namespace
+
+FleetComponent::FleetComponent(Host& host)
+    : host(host)
+    , timer(host.context)
+{
+}
+
+auto FleetComponent::start() -> absl::Status
+{
+    const auto& settings = this->host.settings;
+    auto server = makeConfigServer(this->host.context, { settings.ip, settings.peerPort }, settings.fleetSecret,
+        [this](const ConfigRequest& request) { return this->host.fleet->config().serve(request); });
+    if (!server.ok())
+        return server.status();
+    this->configServer = *server;
+    this->host.transport->start([this](const Address& from, const PeerMessage& message) {
+        this->host.supervisor->guard("fleet", [&] { this->host.fleet->receive(from, message); });
+    });
+    this->scheduleTick();
+    return absl::OkStatus();
+}
+
+auto FleetComponent::stop() -> void
+{
+    this->timer.cancel();
+    if (this->configServer)
+        this->configServer->stop();
+}
+
+auto FleetComponent::scheduleTick() -> void
+{
+    this->timer.expires_after(tickInterval);
+    this->timer.async_wait([this](boost::system::error_code error) {
+        if (error)
+            return;
+        this->scheduleTick();
+        this->host.supervisor->guard("fleet", [this] { this->host.onTick(); });
+    });
+}
+
+ServiceComponent::ServiceComponent(Host& host)
+    : host(host)
+{
+}
+
+auto ServiceComponent::start() -> absl::Status
+{
+    auto option = HttpServerOption {};
+    option.onRefusal = [this](ResultCode code) {
+        const auto label = "code=\"" + std::string { resultInfo(code).name } + "\"";
+        this->host.metrics.count("citronloft_results_total", label);
+    };
+    const auto handler = [this](HttpRequest& request, CallerContext& caller, boost::asio::yield_context yield) {
+        return this->host.gateway->handle(request, caller, yield);
+    };
+    const auto& settings = this->host.settings;
+    auto server = makeHttpServer(this->host.context, { settings.ip, settings.servicePort }, handler, option);
+    if (!server.ok())
+        return server.status();
+    this->host.service = *server;
+    return absl::OkStatus();
+}
+
+auto ServiceComponent::stop() -> void
+{
+    if (this->host.service)
+        this->host.service->closeIdle();
+}
+
+StatusComponent::StatusComponent(Host& host)
+    : host(host)
+{
+}
+
+auto StatusComponent::start() -> absl::Status
+{
+    const auto handler = [this](const HttpRequest& request, CallerContext&, const boost::asio::yield_context&) {
+        return this->host.handleStatus(request);
+    };
+    const auto& settings = this->host.settings;
+    auto made = makeHttpServer(this->host.context, { settings.ip, settings.statusPort }, handler);
+    if (!made.ok())
+        return made.status();
+    this->server = *made;
+    return absl::OkStatus();
+}
+
+auto StatusComponent::stop() -> void
+{
+    if (this->server)
+        this->server->closeIdle();
+}
+
+ProbeComponent::ProbeComponent(Host& host)
+    : host(host)
+    , timer(host.context)
+{
+}
+
+auto ProbeComponent::start() -> absl::Status
+{
+    this->isRunning = std::make_shared<bool>(true);
+    this->schedule();
+    return absl::OkStatus();
+}
+
+auto ProbeComponent::stop() -> void
+{
+    if (this->isRunning)
+        *this->isRunning = false;
+    this->timer.cancel();
+}
+
+auto ProbeComponent::schedule() -> void
+{
+    boost::asio::spawn(
+        this->host.context,
+        [this, running = this->isRunning](boost::asio::yield_context yield) {
+            while (*running) {
+                this->host.gateway->probeTargets(yield);
+                auto error = boost::system::error_code {};
+                this->timer.expires_after(probeInterval);
+                if (*running)
+                    this->timer.async_wait(yield[error]);
+            }
+        },
+        boost::asio::detached);
+}
+
+} // namespace citronloft
--- /dev/null
+++ b/programs/citronloftd/host.hpp
@@ -0,0 +1,68 @@
+/// @file
+/// @brief Wires a host's components together and runs its lifecycle.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "citronloft/base/counters.hpp"
+#include "citronloft/base/host_settings.hpp"
+#include "citronloft/edge/config_exchange.hpp"
+#include "citronloft/edge/gateway.hpp"
+#include "citronloft/edge/supervisor.hpp"
+#include "citronloft/edge/udp_transport.hpp"
+#include "citronloft/policy/host_lifecycle.hpp"
+
+namespace citronloft {
+
+/// @brief One running host.
+class Host {
+public:
+    /// @param onStopped called once with the exit code when the host has stopped.
+    Host(boost::asio::io_context& context, HostSettings settings, std::function<void(int)> onStopped);
+    ~Host();
+    Host(const Host&) = delete;
+    auto operator=(const Host&) -> Host& = delete;
+
+    /// @brief Opens all sockets and starts.
+    auto start() -> absl::Status;
+
+    /// @brief Begins a planned stop; a second call hastens it.
+    auto stop() -> void;
+
+private:
+    friend class FleetComponent;
+    friend class ServiceComponent;
+    friend class StatusComponent;
+    friend class ProbeComponent;
+
+    auto onConfig(const std::shared_ptr<const ActiveConfig>& active) -> void;
+    auto onTick() -> void;
+    auto advanceStop(TimePoint now) -> void;
+    auto finish(int exitCode) -> void;
+    [[nodiscard]] auto isDrained(TimePoint now) const -> bool;
+    auto handleStatus(const HttpRequest& request) -> HttpResponse;
+    [[nodiscard]] auto statusBody() const -> std::string;
+
+    boost::asio::io_context& context;
+    HostSettings settings;
+    std::function<void(int)> onStopped;
+    SteadyClock clock;
+    Metrics metrics;
+    std::uint64_t incarnation;
+    std::unique_ptr<HostLifecycle> lifecycle;
+    std::shared_ptr<UdpTransport> transport;
+    std::unique_ptr<FleetHost> fleet;
+    std::unique_ptr<Gateway> gateway;
+    std::shared_ptr<HttpServer> service;
+    std::unique_ptr<Supervisor> supervisor;
+    TimePoint leavingSince {};
+    TimePoint quietUntil {};
+    bool isHastened = false;
+    bool isFinished = false;
+};
+
+} // namespace citronloft
--- /dev/null
+++ b/programs/citronloftd/main.cpp
@@ -0,0 +1,107 @@
+/// @file
+/// @brief citronloftd, the daemon on each entry host.
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/program_options.hpp>
+#include <csignal>
+
+#include "citronloft/base/log.hpp"
+#include "host.hpp"
+
+namespace {
+
+namespace po = boost::program_options;
+
+constexpr auto exitUsage = 2;
+
+auto readFile(const std::string& path) -> std::optional<std::string>
+{
+    auto file = std::ifstream(path, std::ios::binary);
+    if (!file)
+        return std::nullopt;
+    auto text = std::ostringstream {};
+    text << file.rdbuf();
+    return std::move(text).str();
+}
+
+auto readSettings(const std::string& path) -> std::optional<citronloft::HostSettings>
+{
+    const auto text = readFile(path);
+    if (!text) {
+        std::cerr << "citronloftd: can't read " << path << "\n";
+        return std::nullopt;
+    }
+    auto reading = citronloft::readHostSettings(*text);
+    for (const auto& fault : reading.faults)
+        std::cerr << citronloft::formatFault(path, fault) << "\n";
+    return std::move(reading.settings);
+}
+
+auto run(const citronloft::HostSettings& settings) -> int
+{
+    auto context = boost::asio::io_context { 1 };
+    auto exitCode = 0;
+    auto signals = boost::asio::signal_set(context, SIGTERM, SIGINT, SIGHUP);
+    auto host = citronloft::Host(context, settings, [&](int code) {
+        exitCode = code;
+        context.stop();
+    });
+    if (const auto status = host.start(); !status.ok()) {
+        std::cerr << "citronloftd: " << status.message() << "\n";
+        return 1;
+    }
+    std::function<void()> waitForSignal = [&] {
+        signals.async_wait([&](boost::system::error_code error, int signal) {
+            if (error)
+                return;
+            if (signal == SIGHUP)
+                citronloft::reopenLog();
+            else
+                host.stop();
+            waitForSignal();
+        });
+    };
+    waitForSignal();
+    context.run();
+    return exitCode;
+}
+
+} // namespace
+
+auto main(int argc, char** argv) -> int
+{
+    auto options = po::options_description("citronloftd - entry host of the citronloft traffic steering system");
+    options.add_options()("settings", po::value<std::string>(), "YAML file with this host's settings")(
+        "check", "check the settings and exit")("version", "print the version")("help", "print this help");
+    auto values = po::variables_map {};
+    try {
+        po::store(po::parse_command_line(argc, argv, options), values);
+    } catch (const po::error& error) {
+        std::cerr << "citronloftd: " << error.what() << "\n";
+        return exitUsage;
+    }
+    if (values.contains("help")) {
+        std::cout << options << "\nSIGTERM begins a planned stop, a second one hastens it; SIGHUP reopens the log.\n";
+        return 0;
+    }
+    if (values.contains("version")) {
+        std::cout << "citronloftd 0.1.0\n";
+        return 0;
+    }
+    if (!values.contains("settings")) {
+        std::cerr << "citronloftd: --settings is missing; see --help\n";
+        return exitUsage;
+    }
+    const auto settings = readSettings(values["settings"].as<std::string>());
+    if (!settings)
+        return exitUsage;
+    if (values.contains("check"))
+        return 0;
+    citronloft::openLog(settings->logPath, settings->logLevel);
+    std::signal(SIGPIPE, SIG_IGN);
+    return run(*settings);
+}
--- /dev/null
+++ b/programs/standins/standin_control.hpp
@@ -0,0 +1,48 @@
+/// @file
+/// @brief Query values of the stand-ins' control requests, and the history that stand-ins write.
+#pragma once
+
+#include <cstdint>
+#include <fstream>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "citronloft/base/clock.hpp"
+#include "citronloft/edge/http_message.hpp"
+
+namespace citronloft {
+
+/// @brief Sets `value` if the request's query names `field`.
+inline auto readKnob(const HttpRequest& request, std::string_view field, std::int64_t& value) -> void
+{
+    const auto text = queryValue(request.target, field);
+    if (!text.empty())
+        value = std::stoll(text);
+}
+
+/// @brief Appends events as JSON lines; times are monotonic nanoseconds, which processes of one machine share.
+class History {
+public:
+    /// @param path file to append to; empty for no history.
+    explicit History(const std::string& path)
+    {
+        if (!path.empty())
+            this->file.open(path, std::ios::app);
+    }
+
+    /// @brief Writes one event with the present time.
+    auto write(std::string_view event, nlohmann::json fields) -> void
+    {
+        if (!this->file.is_open())
+            return;
+        fields["event"] = event;
+        fields["t"] = std::chrono::steady_clock::now().time_since_epoch().count();
+        this->file << fields.dump() << "\n" << std::flush;
+    }
+
+private:
+    std::ofstream file;
+};
+
+} // namespace citronloft
--- /dev/null
+++ b/programs/standins/store.cpp
@@ -0,0 +1,230 @@
+/// @file
+/// @brief Stand-in of the platform's object service (docs/PLATFORM.md), in memory, with fault knobs.
+
+#include <iostream>
+#include <map>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/program_options.hpp>
+
+#include "citronloft/edge/http_server.hpp"
+#include "standin_control.hpp"
+
+namespace citronloft {
+
+namespace {
+
+namespace po = boost::program_options;
+
+constexpr auto objectsPath = std::string_view { "/v1/objects/" };
+constexpr auto silentTime = std::chrono::seconds { 30 };
+
+struct Object {
+    std::string value;
+    std::uint64_t version = 0;
+};
+
+struct Knobs {
+    /// 0 none, 1 answers 503, 2 does not answer.
+    std::int64_t outage = 0;
+    std::int64_t delayMs = 0;
+    /// So many next writes take effect without an answer.
+    std::int64_t loseReplies = 0;
+    /// So many next reads answer with the object's previous version.
+    std::int64_t staleReads = 0;
+};
+
+struct Stats {
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t watches = 0;
+};
+
+auto plain(unsigned status, std::string body = {}) -> HttpResponse
+{
+    auto response = HttpResponse {};
+    response.status = status;
+    response.body = std::move(body);
+    return response;
+}
+
+auto withVersion(HttpResponse response, std::uint64_t version) -> HttpResponse
+{
+    response.fields.set("ETag", "\"" + std::to_string(version) + "\"");
+    return response;
+}
+
+class StoreStandin {
+public:
+    explicit StoreStandin(boost::asio::io_context& context)
+        : context(context)
+    {
+    }
+
+    auto handle(const HttpRequest& request, boost::asio::yield_context yield) -> HttpResponse
+    {
+        if (request.target.starts_with("/control"))
+            return this->control(request);
+        if (request.target.starts_with("/stats"))
+            return this->stats();
+        if (this->knobs.delayMs > 0)
+            this->sleep(std::chrono::milliseconds { this->knobs.delayMs }, yield);
+        if (this->knobs.outage == 2)
+            this->sleep(silentTime, yield);
+        if (this->knobs.outage != 0)
+            return plain(503);
+        if (request.target.starts_with("/v1/objects?prefix="))
+            return this->list(queryValue(request.target, "prefix"));
+        if (!request.target.starts_with(objectsPath))
+            return plain(404);
+        auto key = request.target.substr(objectsPath.size());
+        key = key.substr(0, key.find('?'));
+        if (request.method == "PUT")
+            return this->put(key, request, yield);
+        if (request.method == "GET")
+            return this->get(key, request, yield);
+        return plain(405);
+    }
+
+private:
+    auto sleep(std::chrono::milliseconds time, boost::asio::yield_context yield) -> void
+    {
+        auto timer = boost::asio::steady_timer(this->context, time);
+        auto error = boost::system::error_code {};
+        timer.async_wait(yield[error]);
+    }
+
+    auto control(const HttpRequest& request) -> HttpResponse
+    {
+        readKnob(request, "outage", this->knobs.outage);
+        readKnob(request, "delay_ms", this->knobs.delayMs);
+        readKnob(request, "lose_replies", this->knobs.loseReplies);
+        readKnob(request, "stale_reads", this->knobs.staleReads);
+        return plain(204);
+    }
+
+    auto stats() -> HttpResponse
+    {
+        return plain(200,
+            nlohmann::json { { "reads", this->counts.reads }, { "writes", this->counts.writes },
+                { "watches", this->counts.watches }, { "objects", this->objects.size() } }
+                .dump());
+    }
+
+    auto list(const std::string& prefix) -> HttpResponse
+    {
+        ++this->counts.reads;
+        auto keys = nlohmann::json::array();
+        for (auto place = this->objects.lower_bound(prefix);
+             place != this->objects.end() && place->first.starts_with(prefix); ++place)
+            keys.push_back(place->first);
+        return plain(200, keys.dump());
+    }
+
+    auto get(const std::string& key, const HttpRequest& request, boost::asio::yield_context yield) -> HttpResponse
+    {
+        const auto watch = queryValue(request.target, "watch");
+        if (!watch.empty())
+            return this->watch(key, std::stoull(watch), std::stoll("0" + queryValue(request.target, "wait_ms")), yield);
+        ++this->counts.reads;
+        const auto found = this->objects.find(key);
+        if (found == this->objects.end())
+            return plain(404);
+        const auto old = this->previous.find(key);
+        if (this->knobs.staleReads > 0 && old != this->previous.end()) {
+            --this->knobs.staleReads;
+            return withVersion(plain(200, old->second.value), old->second.version);
+        }
+        return withVersion(plain(200, found->second.value), found->second.version);
+    }
+
+    auto watch(const std::string& key, std::uint64_t after, std::int64_t waitMs, boost::asio::yield_context yield)
+        -> HttpResponse
+    {
+        ++this->counts.watches;
+        const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds { waitMs };
+        while (true) {
+            const auto found = this->objects.find(key);
+            if (found != this->objects.end() && found->second.version > after)
+                return withVersion(plain(200, found->second.value), found->second.version);
+            if (std::chrono::steady_clock::now() >= until || this->knobs.outage != 0)
+                return plain(this->knobs.outage == 0 ? 304 : 503);
+            auto timer = std::make_shared<boost::asio::steady_timer>(this->context, until);
+            this->watchers[key].push_back(timer);
+            auto error = boost::system::error_code {};
+            timer->async_wait(yield[error]);
+            std::erase(this->watchers[key], timer);
+        }
+    }
+
+    auto put(const std::string& key, const HttpRequest& request, boost::asio::yield_context yield) -> HttpResponse
+    {
+        ++this->counts.writes;
+        constexpr auto greatestValueBytes = std::size_t { 1024 * 1024 };
+        if (request.body.size() > greatestValueBytes)
+            return plain(413);
+        auto& object = this->objects[key];
+        const auto expected = request.fields.get("If-Match");
+        const auto isExpected = request.fields.has("If-None-Match")
+            ? object.version == 0
+            : expected == "\"" + std::to_string(object.version) + "\"";
+        if (!isExpected) {
+            if (object.version == 0)
+                this->objects.erase(key);
+            return plain(412);
+        }
+        this->previous[key] = object;
+        object = { request.body, ++this->lastVersion };
+        const auto version = object.version;
+        for (const auto& timer : this->watchers[key])
+            timer->cancel();
+        if (this->knobs.loseReplies > 0) {
+            --this->knobs.loseReplies;
+            this->sleep(silentTime, yield);
+        }
+        return withVersion(plain(200), version);
+    }
+
+    boost::asio::io_context& context;
+    std::map<std::string, Object> objects;
+    std::map<std::string, Object> previous;
+    std::map<std::string, std::vector<std::shared_ptr<boost::asio::steady_timer>>> watchers;
+    std::uint64_t lastVersion = 0;
+    Knobs knobs;
+    Stats counts;
+};
+
+auto run(const Address& address) -> int
+{
+    auto context = boost::asio::io_context { 1 };
+    auto signals = boost::asio::signal_set(context, SIGTERM, SIGINT);
+    signals.async_wait([&](auto, auto) { context.stop(); });
+    auto store = StoreStandin(context);
+    auto option = HttpServerOption {};
+    option.bodyLimitBytes = 2 * 1024 * 1024;
+    const auto server = makeHttpServer(
+        context, address,
+        [&](HttpRequest& request, CallerContext&, auto yield) { return store.handle(request, yield); }, option);
+    if (!server.ok()) {
+        std::cerr << "standin_store: " << server.status().message() << "\n";
+        return 1;
+    }
+    context.run();
+    return 0;
+}
+
+} // namespace
+
+} // namespace citronloft
+
+auto main(int argc, char** argv) -> int
+{
+    namespace po = boost::program_options;
+    auto options = po::options_description("standin_store");
+    options.add_options()("listen", po::value<std::string>()->default_value("127.0.0.1:7000"), "address");
+    auto values = po::variables_map {};
+    po::store(po::parse_command_line(argc, argv, options), values);
+    const auto address = citronloft::parseAddress(values["listen"].as<std::string>());
+    return address.ok() ? citronloft::run(*address) : 2;
+}
--- /dev/null
+++ b/src/citronloft/base/config_edit.cpp
@@ -0,0 +1,111 @@
+#include "citronloft/base/config_edit.hpp"
+
+#include <optional>
+
+#include <yaml-cpp/yaml.h>
+
+namespace citronloft {
+
+namespace {
+
+/// Finds the list item of `section` whose `field` has this value.
+auto findItem(const YAML::Node& section, const std::string& field, const std::string& value)
+    -> std::optional<YAML::Node>
+{
+    if (!section.IsSequence())
+        return std::nullopt;
+    for (const auto& item : section) {
+        if (item.IsMap() && item[field].IsScalar() && item[field].as<std::string>() == value)
+            return item;
+    }
+    return std::nullopt;
+}
+
+auto findTarget(const YAML::Node& root, const std::string& address) -> std::optional<YAML::Node>
+{
+    if (!root["pools"].IsSequence())
+        return std::nullopt;
+    for (const auto& pool : root["pools"]) {
+        if (const auto target = findItem(pool["targets"], "address", address))
+            return target;
+    }
+    return std::nullopt;
+}
+
+auto endOfLine(const std::string& text, std::size_t position) -> std::size_t
+{
+    return std::min(text.find('\n', position), text.size());
+}
+
+/// Adds "field: value" to a map after the scalar `after`, in the map's own style.
+auto insertField(std::string text, const YAML::Node& map, const YAML::Node& after, const std::string& field)
+    -> std::string
+{
+    const auto afterPosition = static_cast<std::size_t>(after.Mark().pos);
+    if (map.Style() == YAML::EmitterStyle::Flow) {
+        const auto end = text.find_first_of(",}", afterPosition);
+        return text.insert(end, ", " + field);
+    }
+    // A block map's first key stands at the map's column; all its keys share that column.
+    const auto indent = std::string(static_cast<std::size_t>(map.Mark().column), ' ');
+    return text.insert(endOfLine(text, afterPosition), "\n" + indent + field);
+}
+
+} // namespace
+
+auto addTeamKey(const std::string& text, const std::string& team, const Digest& digest) -> absl::StatusOr<std::string>
+{
+    const auto root = YAML::Load(text);
+    const auto item = findItem(root["teams"], "name", team);
+    if (!item)
+        return absl::NotFoundError("no team '" + team + "' in the file");
+    const auto hex = toHex(digest);
+    const auto keys = (*item)["keys"];
+    if (!keys.IsDefined() || keys.IsNull())
+        return insertField(text, *item, (*item)["name"], "keys: [" + hex + "]");
+    auto edited = text;
+    const auto position = static_cast<std::size_t>(keys.Mark().pos);
+    if (keys.Style() == YAML::EmitterStyle::Flow)
+        return edited.insert(position + 1, hex + (keys.size() == 0 ? "" : ", "));
+    const auto indent = std::string(static_cast<std::size_t>(keys.Mark().column), ' ');
+    return edited.insert(position, "- " + hex + "\n" + indent);
+}
+
+auto removeTeamKey(const std::string& text, const Digest& digest) -> absl::StatusOr<std::string>
+{
+    const auto hex = toHex(digest);
+    const auto position = text.find(hex);
+    if (position == std::string::npos)
+        return absl::NotFoundError("the key's digest stands nowhere in the file");
+    auto begin = position;
+    auto end = position + hex.size();
+    const auto lineBegin = text.rfind('\n', position) == std::string::npos ? 0 : text.rfind('\n', position) + 1;
+    const auto lead = text.substr(lineBegin, position - lineBegin);
+    auto edited = text;
+    if (lead.find_first_not_of(" -") == std::string::npos && lead.find('-') != std::string::npos)
+        return edited.erase(lineBegin, endOfLine(text, position) + 1 - lineBegin);
+    if (text.compare(end, 2, ", ") == 0)
+        end += 2;
+    else if (begin >= 2 && text.compare(begin - 2, 2, ", ") == 0)
+        begin -= 2;
+    return edited.erase(begin, end - begin);
+}
+
+auto setDraining(const std::string& text, const std::string& name, bool draining) -> absl::StatusOr<std::string>
+{
+    const auto root = YAML::Load(text);
+    auto item = findTarget(root, name);
+    const auto isTarget = item.has_value();
+    if (!item)
+        item = findItem(root["zones"], "name", name);
+    if (!item)
+        return absl::NotFoundError("no target or zone '" + name + "' in the file");
+    const auto value = std::string { draining ? "true" : "false" };
+    const auto field = (*item)["draining"];
+    if (!field.IsDefined())
+        return insertField(text, *item, (*item)[isTarget ? "address" : "name"], "draining: " + value);
+    auto edited = text;
+    return edited.replace(static_cast<std::size_t>(field.Mark().pos), field.Scalar().size(), value);
+}
+
+} // namespace citronloft
--- /dev/null
+++ b/src/citronloft/base/host_settings.cpp
@@ -0,0 +1,108 @@
+#include "citronloft/base/host_settings.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace citronloft {
+
+namespace {
+
+constexpr auto leastSecretLength = std::size_t { 16 };
+
+auto readAddress(YamlReader& reader, std::string_view field, Address& address) -> void
+{
+    auto text = std::string {};
+    if (!reader.required(field, text))
+        return;
+    if (const auto parsed = parseAddress(text); parsed.ok())
+        address = *parsed;
+    else
+        reader.fault(field, "must be an IP number and a port");
+}
+
+auto readPort(YamlReader& reader, std::string_view field, std::uint16_t& port) -> void
+{
+    auto number = std::int64_t { port };
+    if (!reader.optional(field, number))
+        return;
+    if (number < 0 || number > 65535)
+        reader.fault(field, "must be from 0 to 65535");
+    else
+        port = static_cast<std::uint16_t>(number);
+}
+
+auto readSeeds(YamlReader& reader, std::vector<Address>& seeds) -> void
+{
+    auto texts = std::vector<std::string> {};
+    reader.strings("seeds", texts);
+    for (const auto& text : texts) {
+        if (const auto parsed = parseAddress(text); parsed.ok())
+            seeds.push_back(*parsed);
+        else
+            reader.fault("seeds", "'" + text + "' is not an IP number and a port");
+    }
+}
+
+template <std::size_t Size>
+auto readChoice(YamlReader& reader, std::string_view field, std::string& value,
+    const std::array<std::string_view, Size>& choices) -> std::size_t
+{
+    reader.optional(field, value);
+    const auto found = std::ranges::find(choices, value);
+    if (found == choices.end())
+        reader.fault(field, "'" + value + "' is not a choice; the first is '" + std::string { choices[0] } + "'");
+    return static_cast<std::size_t>(found - choices.begin());
+}
+
+auto readLog(YamlReader& root, HostSettings& settings, std::vector<Fault>& faults) -> void
+{
+    const auto node = root.child("log");
+    if (!node.IsDefined())
+        return;
+    auto reader = YamlReader(node, "log", faults);
+    auto level = std::string { "info" };
+    reader.optional("path", settings.logPath);
+    constexpr auto levels = std::to_array<std::string_view>({ "debug", "info", "warning", "error" });
+    settings.logLevel = static_cast<LogLevel>(readChoice(reader, "level", level, levels));
+    reader.finish();
+}
+
+auto readFields(YamlReader& reader, HostSettings& settings) -> void
+{
+    reader.required("ip", settings.ip);
+    reader.required("zone", settings.zone);
+    readPort(reader, "service_port", settings.servicePort);
+    readPort(reader, "peer_port", settings.peerPort);
+    readPort(reader, "status_port", settings.statusPort);
+    readAddress(reader, "platform", settings.platform);
+    reader.required("fleet_secret", settings.fleetSecret);
+    readSeeds(reader, settings.seeds);
+    readChoice(reader, "queue", settings.queue, std::to_array<std::string_view>({ "fair", "fifo" }));
+    readChoice(reader, "lending", settings.lending, std::to_array<std::string_view>({ "fleet", "zone", "none" }));
+    if (!settings.ip.empty() && !parseIp(settings.ip).ok())
+        reader.fault("ip", "must be an IP number");
+    if (settings.fleetSecret.size() < leastSecretLength)
+        reader.fault("fleet_secret", "must have at least 16 characters");
+}
+
+} // namespace
+
+auto readHostSettings(const std::string& text) -> HostSettingsReading
+{
+    auto reading = HostSettingsReading {};
+    auto settings = HostSettings {};
+    try {
+        auto reader = YamlReader(YAML::Load(text), "", reading.faults);
+        readFields(reader, settings);
+        readLog(reader, settings, reading.faults);
+        reader.finish();
+    } catch (const YAML::Exception& error) {
+        reading.faults.push_back({ error.mark.line + 1, "", error.msg });
+    }
+    std::ranges::stable_sort(reading.faults, {}, &Fault::line);
+    if (reading.faults.empty())
+        reading.settings = std::move(settings);
+    return reading;
+}
+
+} // namespace citronloft
--- /dev/null
+++ b/src/citronloft/edge/config_exchange.cpp
@@ -0,0 +1,217 @@
+#include "citronloft/edge/config_exchange.hpp"
+
+#include <array>
+
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/endian/conversion.hpp>
+
+#include "citronloft/base/codec.hpp"
+#include "citronloft/base/digest.hpp"
+
+namespace citronloft {
+
+namespace {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+using Stream = boost::beast::tcp_stream;
+using ErrorCode = boost::system::error_code;
+
+constexpr auto greatestFrameBytes = std::uint32_t { 256 * 1024 * 1024 };
+constexpr auto greatestRequestBytes = std::uint32_t { 1024 };
+constexpr auto exchangeTimeout = std::chrono::seconds { 10 };
+
+/// A request's nonce is part of the answer's seal, so that an old answer can't be replayed.
+struct SealedRequest {
+    std::uint64_t nonce = 0;
+    ConfigRequest request;
+
+    template <typename Archive> auto serialize(Archive& archive) -> void { archive(this->nonce, this->request); }
+};
+
+auto sealOf(const std::string& secret, std::string_view purpose, std::uint64_t nonce, const std::string& body)
+    -> std::string
+{
+    const auto digest
+        = hmacSha256(secret, std::string { purpose } + ":" + std::to_string(nonce) + ":" + toHex(sha256(body)));
+    return { digest.begin(), digest.end() };
+}
+
+auto writeFrame(Stream& stream, const std::string& body, asio::yield_context yield) -> ErrorCode
+{
+    auto error = ErrorCode {};
+    auto length = boost::endian::native_to_big(static_cast<std::uint32_t>(body.size()));
+    const auto buffers = std::array<asio::const_buffer, 2> { asio::buffer(&length, sizeof length), asio::buffer(body) };
+    asio::async_write(stream, buffers, yield[error]);
+    return error;
+}
+
+auto readFrame(Stream& stream, std::uint32_t greatest, asio::yield_context yield) -> absl::StatusOr<std::string>
+{
+    auto error = ErrorCode {};
+    auto length = std::uint32_t { 0 };
+    asio::async_read(stream, asio::buffer(&length, sizeof length), yield[error]);
+    boost::endian::big_to_native_inplace(length);
+    if (error || length > greatest)
+        return absl::UnavailableError("no frame from the peer");
+    auto body = std::string(length, '\0');
+    asio::async_read(stream, asio::buffer(body), yield[error]);
+    if (error)
+        return absl::UnavailableError("the frame was cut");
+    return body;
+}
+
+/// Splits a frame into seal and body and checks the seal.
+auto openFrame(const std::string& secret, std::string_view purpose, std::uint64_t nonce, const std::string& frame)
+    -> absl::StatusOr<std::string>
+{
+    constexpr auto sealBytes = std::tuple_size_v<Digest>;
+    if (frame.size() < sealBytes)
+        return absl::InvalidArgumentError("frame too short");
+    auto body = frame.substr(sealBytes);
+    if (sealOf(secret, purpose, nonce, body) != frame.substr(0, sealBytes))
+        return absl::PermissionDeniedError("wrong seal");
+    return body;
+}
+
+class AsioConfigServer final : public ConfigServer, public std::enable_shared_from_this<AsioConfigServer> {
+public:
+    AsioConfigServer(asio::io_context& context, std::string secret, Serve serve)
+        : context(context)
+        , acceptor(context)
+        , secret(std::move(secret))
+        , serve(std::move(serve))
+    {
+    }
+
+    auto listen(const Address& address) -> absl::Status
+    {
+        try {
+            const auto endpoint = Tcp::endpoint(asio::ip::make_address(address.ip), address.port);
+            this->acceptor.open(endpoint.protocol());
+            this->acceptor.set_option(asio::socket_base::reuse_address(true));
+            this->acceptor.bind(endpoint);
+            this->acceptor.listen();
+        } catch (const boost::system::system_error& error) {
+            return absl::UnavailableError(formatAddress(address) + ": " + error.code().message());
+        }
+        this->acceptNext();
+        return absl::OkStatus();
+    }
+
+    auto stop() -> void override
+    {
+        auto ignored = ErrorCode {};
+        this->acceptor.close(ignored);
+    }
+
+private:
+    auto acceptNext() -> void
+    {
+        this->acceptor.async_accept([self = this->shared_from_this()](ErrorCode error, Tcp::socket socket) {
+            if (!self->acceptor.is_open())
+                return;
+            if (!error)
+                self->start(std::move(socket));
+            self->acceptNext();
+        });
+    }
+
+    auto start(Tcp::socket socket) -> void
+    {
+        auto stream = std::make_shared<Stream>(std::move(socket));
+        asio::spawn(
+            this->context,
+            [self = this->shared_from_this(), stream](asio::yield_context yield) { self->answer(*stream, yield); },
+            asio::detached);
+    }
+
+    auto answer(Stream& stream, asio::yield_context yield) -> void
+    {
+        stream.expires_after(exchangeTimeout);
+        const auto frame = readFrame(stream, greatestRequestBytes, yield);
+        if (!frame.ok())
+            return;
+        const auto body = openFrame(this->secret, "config-request", 0, *frame);
+        if (!body.ok())
+            return;
+        const auto request = decode<SealedRequest>(*body);
+        if (!request.ok())
+            return;
+        const auto update = this->serve(request->request);
+        if (!update.ok())
+            return;
+        const auto reply = encode(*update);
+        writeFrame(stream, sealOf(this->secret, "config-update", request->nonce, reply) + reply, yield);
+    }
+
+    asio::io_context& context;
+    Tcp::acceptor acceptor;
+    std::string secret;
+    Serve serve;
+};
+
+class AsioConfigFetcher final : public ConfigFetcher, public std::enable_shared_from_this<AsioConfigFetcher> {
+public:
+    AsioConfigFetcher(asio::io_context& context, std::string secret)
+        : context(context)
+        , secret(std::move(secret))
+    {
+    }
+
+    auto fetch(const Address& peer, const ConfigRequest& request, Done done) -> void override
+    {
+        asio::spawn(
+            this->context,
+            [self = this->shared_from_this(), peer, request, done = std::move(done)](
+                asio::yield_context yield) { done(self->run(peer, request, yield)); },
+            asio::detached);
+    }
+
+private:
+    auto run(const Address& peer, const ConfigRequest& request, asio::yield_context yield)
+        -> absl::StatusOr<ConfigUpdate>
+    {
+        auto stream = Stream(this->context);
+        auto error = ErrorCode {};
+        stream.expires_after(exchangeTimeout);
+        stream.async_connect(Tcp::endpoint(asio::ip::make_address(peer.ip), peer.port), yield[error]);
+        if (error)
+            return absl::UnavailableError("no connection to the peer");
+        const auto nonce = randomId();
+        const auto body = encode(SealedRequest { nonce, request });
+        if (writeFrame(stream, sealOf(this->secret, "config-request", 0, body) + body, yield))
+            return absl::UnavailableError("the peer closed the connection");
+        const auto frame = readFrame(stream, greatestFrameBytes, yield);
+        if (!frame.ok())
+            return frame.status();
+        const auto reply = openFrame(this->secret, "config-update", nonce, *frame);
+        return reply.ok() ? decode<ConfigUpdate>(*reply) : reply.status();
+    }
+
+    asio::io_context& context;
+    std::string secret;
+};
+
+} // namespace
+
+auto makeConfigServer(boost::asio::io_context& context, const Address& address, std::string secret,
+    ConfigServer::Serve serve) -> absl::StatusOr<std::shared_ptr<ConfigServer>>
+{
+    auto server = std::make_shared<AsioConfigServer>(context, std::move(secret), std::move(serve));
+    if (const auto status = server->listen(address); !status.ok())
+        return status;
+    return server;
+}
+
+auto makeConfigFetcher(boost::asio::io_context& context, std::string secret) -> std::shared_ptr<ConfigFetcher>
+{
+    return std::make_shared<AsioConfigFetcher>(context, std::move(secret));
+}
+
+} // namespace citronloft
--- /dev/null
+++ b/src/citronloft/edge/gateway.cpp
@@ -0,0 +1,520 @@
+#include "citronloft/edge/gateway.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+#include <nlohmann/json.hpp>
+
+#include "citronloft/base/digest.hpp"
+#include "citronloft/base/log.hpp"
+
+namespace citronloft {
+
+namespace {
+
+constexpr auto keyHeader = "Citronloft-Key";
+constexpr auto deadlineHeader = "Citronloft-Deadline-Ms";
+constexpr auto outcomeHeader = "Citronloft-Outcome";
+constexpr auto codeHeader = "Citronloft-Code";
+constexpr auto idempotencyHeader = "Idempotency-Key";
+constexpr auto greatestIdempotencyKeyBytes = std::size_t { 255 };
+/// Open routes stand in the fair queue as one team of their own.
+constexpr auto openTeamIndex = std::size_t { 1'000'000 };
+constexpr auto probeTimeout = std::chrono::milliseconds { 800 };
+/// Bytes that an answer is taken to need on a link between regions before it is known.
+constexpr auto expectedAnswerBytes = std::int64_t { 2048 };
+constexpr auto greatestSpillTries = std::size_t { 2 };
+constexpr auto leastAttemptTime = std::chrono::milliseconds { 250 };
+constexpr auto attemptLatencies = 8;
+constexpr auto queueRetryAfter = std::chrono::milliseconds { 1000 };
+
+auto isRefusal(ResultCode code) -> bool { return resultInfo(code).outcome == Outcome::NotRun; }
+
+auto removeOwnFields(HeaderFields& fields) -> void
+{
+    auto names = std::vector<std::string> {};
+    for (const auto& field : fields) {
+        constexpr auto prefix = std::string_view { "Citronloft-" };
+        if (field.name.size() >= prefix.size() && equalHeaderName(field.name.substr(0, prefix.size()), prefix))
+            names.push_back(field.name);
+    }
+    for (const auto& name : names)
+        fields.remove(name);
+}
+
+/// Leaves only what may be passed on; the server sets a length of its own wherever there is a body.
+auto cleanAnswer(HttpResponse& response, bool isHead) -> void
+{
+    removeHopByHopFields(response.fields);
+    removeOwnFields(response.fields);
+    if (!isHead && response.status != 304)
+        response.fields.remove("Content-Length");
+}
+
+auto isTargetRefusal(const HttpResponse& response) -> bool
+{
+    return response.status == 503 && response.fields.get(outcomeHeader) == "not-run";
+}
+
+auto codeOf(ExchangeError error) -> ResultCode
+{
+    switch (error) {
+    case ExchangeError::None:
+        return ResultCode::Answered;
+    case ExchangeError::ConnectFailed:
+    case ExchangeError::ConnectTimeout:
+        return ResultCode::ConnectFailed;
+    case ExchangeError::AnswerTimeout:
+        return ResultCode::TargetTimeout;
+    case ExchangeError::ConnectionLost:
+        return ResultCode::ConnectionLost;
+    case ExchangeError::AnswerCut:
+        return ResultCode::AnswerCut;
+    case ExchangeError::AnswerTooLarge:
+        return ResultCode::AnswerTooLarge;
+    case ExchangeError::Cancelled:
+        return ResultCode::CallerGone;
+    }
+    return ResultCode::ConnectionLost;
+}
+
+auto resultOf(ResultCode code, const HttpResponse& response) -> TargetResult
+{
+    if (code == ResultCode::TargetShed)
+        return TargetResult::Shed;
+    if (code == ResultCode::CallerGone)
+        return TargetResult::Abandoned;
+    if (code != ResultCode::Answered || response.status >= 500)
+        return TargetResult::Failed;
+    return TargetResult::Answered;
+}
+
+auto parseMilliseconds(std::string_view text) -> std::optional<std::chrono::milliseconds>
+{
+    auto value = std::int64_t { 0 };
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || error != std::errc {} || end != text.data() + text.size() || value < 0)
+        return std::nullopt;
+    return std::chrono::milliseconds { std::min<std::int64_t>(value, 3'600'000) };
+}
+
+} // namespace
+
+Gateway::Gateway(
+    boost::asio::io_context& context, const Clock& clock, Metrics& metrics, FleetHost& fleet, GatewayOption option)
+    : context(context)
+    , clock(clock)
+    , metrics(metrics)
+    , fleet(fleet)
+    , option(std::move(option))
+    , lookup(fleet.membership(), this->option.zone)
+    , signer(this->option.fleetSecret)
+    , retryBudget(this->option.retry)
+    , client(makeHttpClient(context, clock))
+{
+}
+
+auto Gateway::setConfig(std::shared_ptr<const ActiveConfig> active) -> void
+{
+    auto next = std::make_shared<Snapshot>();
+    next->active = active;
+    next->routes = RouteTable(active->config);
+    next->keys = KeyTable(active->config);
+    this->snapshot = std::move(next);
+    this->lookup.setConfig(*active);
+    for (const auto& pool : active->config.pools) {
+        auto& admission = this->admissions[pool.name];
+        if (!admission) {
+            const auto makeQueue = this->option.queue == QueueStrategy::Fifo ? makeFifoQueue : makeFairQueue;
+            admission = std::make_unique<PoolAdmission>(this->context, this->clock, makeQueue(this->option.queueLimits),
+                TargetPool(this->option.targets, randomId()));
+        }
+        auto local = std::vector<Target> {};
+        std::ranges::copy_if(pool.targets, std::back_inserter(local),
+            [&](const Target& target) { return target.zone == this->option.zone; });
+        admission->targets().setTargets(local, this->clock.now());
+    }
+}
+
+auto Gateway::handle(HttpRequest& request, CallerContext& caller, boost::asio::yield_context yield) -> HttpResponse
+{
+    const auto startedAt = this->clock.now();
+    ++this->running;
+    auto result = this->dispatch(request, caller, yield);
+    --this->running;
+    return this->finish(std::move(result), startedAt);
+}
+
+auto Gateway::dispatch(HttpRequest& request, CallerContext& caller, boost::asio::yield_context yield) -> CallResult
+{
+    if (request.method == "GET"
+        && std::string_view { request.target }.substr(0, request.target.find('?')) == lookupPath) {
+        auto answer = this->lookup.answer(request, caller.caller.ip);
+        if (answer.status != 200)
+            return { ResultCode::ShiftCapReached, {}, queueRetryAfter };
+        return { ResultCode::LookupAnswered, std::move(answer), {} };
+    }
+    if (!this->snapshot)
+        return { ResultCode::NoConfiguration, {}, queueRetryAfter };
+    if (request.method == "CONNECT" || request.method == "TRACE")
+        return { ResultCode::MethodUnsupported, {}, {} };
+    if (isAmbiguousPath(request.target))
+        return { ResultCode::MalformedRequest, {}, {} };
+    auto call = Call {};
+    call.snapshot = this->snapshot;
+    call.request = &request;
+    call.caller = &caller;
+    call.isSpilled = request.fields.has(spillHeader);
+    return call.isSpilled ? this->handleSpilled(call, yield) : this->handleCaller(call, yield);
+}
+
+auto Gateway::handleCaller(Call& call, boost::asio::yield_context yield) -> CallResult
+{
+    call.route = call.snapshot->routes.find(call.request->method, call.request->target);
+    if (call.route == nullptr)
+        return { ResultCode::RouteUnknown, {}, {} };
+    if (const auto code = this->authorize(call); code != ResultCode::Answered)
+        return { code, {}, {} };
+    const auto asked = parseMilliseconds(call.request->fields.get(deadlineHeader));
+    call.deadline = this->clock.now() + std::min(call.route->deadline, asked.value_or(call.route->deadline));
+    const auto rate = this->admitRate(call, yield);
+    if (!rate.admitted)
+        return { ResultCode::RateExceeded, {}, rate.retryAfter };
+    return this->claimAndRun(call, yield);
+}
+
+auto Gateway::authorize(Call& call) const -> ResultCode
+{
+    const auto& config = call.snapshot->active->config;
+    if (call.route->maxConfigAge && this->fleet.config().age(this->clock.now()) > *call.route->maxConfigAge)
+        return ResultCode::ConfigurationStale;
+    const auto& fields = call.request->fields;
+    const auto idempotencyKey = fields.get(idempotencyHeader);
+    if (fields.has(idempotencyHeader)
+        && (idempotencyKey.empty() || idempotencyKey.size() > greatestIdempotencyKeyBytes))
+        return ResultCode::IdempotencyKeyInvalid;
+    call.teamIndex = openTeamIndex;
+    if (call.route->open)
+        return ResultCode::Answered;
+    if (!fields.has(keyHeader))
+        return ResultCode::KeyMissing;
+    const auto team = call.snapshot->keys.find(fields.get(keyHeader));
+    if (!team)
+        return ResultCode::KeyUnknown;
+    call.team = &config.teams[*team];
+    call.teamIndex = *team;
+    const auto& allowed = call.route->teams;
+    if (!allowed.empty() && std::ranges::find(allowed, call.team->name) == allowed.end())
+        return ResultCode::TeamNotAllowed;
+    return ResultCode::Answered;
+}
+
+/// The key may have been withdrawn while the request waited.
+auto Gateway::isStillAuthorized(const Call& call) const -> bool
+{
+    if (call.team == nullptr || call.isSpilled || call.snapshot == this->snapshot)
+        return true;
+    const auto team = this->snapshot->keys.find(call.request->fields.get(keyHeader));
+    return team && this->snapshot->active->config.teams[*team].name == call.team->name;
+}
+
+auto Gateway::admitRate(const Call& call, boost::asio::yield_context yield) -> RateDecision
+{
+    if (call.team == nullptr)
+        return { .admitted = true, .waited = false, .retryAfter = {} };
+    auto waiter = std::make_shared<Waiter<RateDecision>>(this->context);
+    const auto id = this->fleet.rates().acquire(bucketId(teamBucketName(call.team->name)), microTokensPerToken,
+        call.deadline, this->clock.now(), [waiter](RateDecision decision) { waiter->set(decision); });
+    const auto decision = waiter->wait(call.deadline, yield);
+    if (!decision && id != 0)
+        this->fleet.rates().cancel(id);
+    return decision.value_or(RateDecision {});
+}
+
+/// A non-idempotent request with an idempotency key is sent only once its key has been claimed in the store.
+auto Gateway::claimAndRun(Call& call, boost::asio::yield_context yield) -> CallResult
+{
+    if (call.route->idempotent || !call.request->fields.has(idempotencyHeader))
+        return this->runAttempts(call, yield);
+    const auto claimed = this->claimKeyOf(call, yield);
+    if (!claimed || claimed->outcome == ClaimOutcome::Unavailable)
+        return { ResultCode::ClaimStoreUnavailable, {}, queueRetryAfter };
+    if (claimed->outcome == ClaimOutcome::Duplicate)
+        return { ResultCode::DuplicateIdempotencyKey, {}, {} };
+    auto result = this->runAttempts(call, yield);
+    if (isRefusal(result.code))
+        this->fleet.claims().release(claimed->claim);
+    return result;
+}
+
+/// @return nothing if the deadline passed first; a claim that is granted after that is released again.
+auto Gateway::claimKeyOf(const Call& call, boost::asio::yield_context yield) -> std::optional<ClaimResult>
+{
+    struct Wait {
+        Waiter<ClaimResult> waiter;
+        bool isOver = false;
+    };
+    auto wait = std::make_shared<Wait>(Wait { Waiter<ClaimResult>(this->context) });
+    const auto team = call.team == nullptr ? std::string { "-" } : call.team->name;
+    const auto key = std::string { call.request->fields.get(idempotencyHeader) };
+    auto& claims = this->fleet.claims();
+    claims.claim(team, key, [wait, &claims](ClaimOutcome outcome, const Claim& claim) {
+        if (wait->isOver && outcome == ClaimOutcome::Granted)
+            claims.release(claim);
+        wait->waiter.set({ outcome, claim });
+    });
+    const auto result = wait->waiter.wait(call.deadline, yield);
+    wait->isOver = true;
+    return result;
+}
+
+auto Gateway::runAttempts(Call& call, boost::asio::yield_context yield) -> CallResult
+{
+    auto& admission = *this->admissions.at(call.route->pool);
+    this->retryBudget.recordFirstAttempt();
+    auto avoid = std::string {};
+    auto doubt = std::optional<ResultCode> {};
+    for (auto attempt = 1U;; ++attempt) {
+        const auto weight = call.team == nullptr ? 1U : call.team->weight;
+        const auto slot = call.isSpilled && attempt == 1
+            ? admission.tryAcquire(this->option.reservedForLocal)
+            : admission.acquire({ call.teamIndex, weight, call.deadline, avoid }, *call.caller, yield);
+        if (slot.target.empty() && doubt)
+            return { *doubt, {}, {} };
+        if (slot.target.empty() && (call.isSpilled || slot.refusal == ResultCode::CallerGone))
+            return { slot.refusal, {}, queueRetryAfter };
+        if (slot.target.empty())
+            return this->spill(call, slot.refusal, yield);
+        if (!this->isStillAuthorized(call)) {
+            admission.release(slot.target, TargetResult::Abandoned, {});
+            return { doubt.value_or(ResultCode::KeyUnknown), {}, {} };
+        }
+        auto result = this->runOnce(call, admission, slot.target, attempt == 1, yield);
+        if (result.code == ResultCode::Answered || result.code == ResultCode::CallerGone)
+            return result;
+        const auto outcome = resultInfo(result.code).outcome;
+        const auto attempted = AttemptResult { outcome, call.route->idempotent, attempt, call.deadline };
+        // An attempt in doubt stays in doubt, whatever a later one proves of itself.
+        if (outcome != Outcome::NotRun)
+            doubt = result.code;
+        if (!this->retryBudget.tryRetry(attempted, this->clock.now()))
+            return { doubt.value_or(result.code), {}, queueRetryAfter };
+        const auto reason = "reason=\"" + std::string { resultInfo(result.code).name } + "\"";
+        this->metrics.count("citronloft_retries_total", reason);
+        avoid = slot.target;
+    }
+}
+
+auto Gateway::runOnce(Call& call, PoolAdmission& admission, const std::string& target, bool mayRetry,
+    boost::asio::yield_context yield) -> CallResult
+{
+    const auto startedAt = this->clock.now();
+    auto cancel = ExchangeCancel {};
+    auto exchangeOption = ExchangeOption { .deadline = call.deadline, .cancel = &cancel };
+    if (!call.route->idempotent) {
+        exchangeOption.reuseWithin = this->option.provedWithin;
+    } else if (mayRetry) {
+        // A silent connection costs an idempotent request one attempt, not its whole deadline.
+        const auto patience
+            = std::max<Duration>(admission.targets().serviceTime() * attemptLatencies, leastAttemptTime);
+        exchangeOption.deadline = std::min(call.deadline, startedAt + patience);
+    }
+    call.caller->onGone([&cancel] { cancel.cancel(); });
+    const auto address = parseAddress(target);
+    auto exchange = this->client->exchange(*address, this->targetRequest(call), exchangeOption, yield);
+    call.caller->onGone(nullptr);
+    auto code = codeOf(exchange.error);
+    if (code == ResultCode::Answered && isTargetRefusal(exchange.response))
+        code = ResultCode::TargetShed;
+    if (code == ResultCode::TargetTimeout)
+        this->client->closeIdle(*address);
+    admission.release(target, resultOf(code, exchange.response), this->clock.now() - startedAt);
+    if (code == ResultCode::Answered)
+        cleanAnswer(exchange.response, call.request->method == "HEAD");
+    return { code, std::move(exchange.response), queueRetryAfter };
+}
+
+auto Gateway::targetRequest(const Call& call) const -> HttpRequest
+{
+    auto request = *call.request;
+    removeHopByHopFields(request.fields);
+    removeOwnFields(request.fields);
+    request.fields.remove("Host");
+    request.fields.remove("Content-Length");
+    if (call.team != nullptr)
+        request.fields.set("Citronloft-Team", call.team->name);
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - this->clock.now());
+    request.fields.set(deadlineHeader, std::to_string(std::max<std::int64_t>(left.count(), 0)));
+    return request;
+}
+
+/// Offers a request that this zone can't run now to entry hosts of other zones, within the limits on moving traffic.
+auto Gateway::spill(Call& call, ResultCode localRefusal, boost::asio::yield_context yield) -> CallResult
+{
+    auto result = CallResult { localRefusal, {}, queueRetryAfter };
+    auto tries = std::size_t { 0 };
+    for (const auto& host : this->spillCandidates(call)) {
+        if (tries == greatestSpillTries || this->clock.now() >= call.deadline)
+            break;
+        if (!this->paySpill(call, this->regionOf(call, host.zone))) {
+            this->metrics.count("citronloft_spills_total", "result=\"cap-reached\"");
+            result.code = ResultCode::ShiftCapReached;
+            continue;
+        }
+        ++tries;
+        result = this->spillTo(call, host, yield);
+        if (!isRefusal(result.code))
+            break;
+    }
+    return result;
+}
+
+auto Gateway::spillTo(Call& call, const HostEntry& host, boost::asio::yield_context yield) -> CallResult
+{
+    auto request = this->targetRequest(call);
+    const auto ticket = SpillTicket { call.team == nullptr ? "" : call.team->name, call.route->name, randomId() };
+    request.fields.set(spillHeader, this->signer.sign(ticket, request));
+    auto exchangeOption = ExchangeOption { .deadline = call.deadline };
+    if (!call.route->idempotent)
+        exchangeOption.reuseWithin = this->option.provedWithin;
+    auto cancel = ExchangeCancel {};
+    exchangeOption.cancel = &cancel;
+    call.caller->onGone([&cancel] { cancel.cancel(); });
+    auto exchange = this->client->exchange(host.serviceAddress(), request, exchangeOption, yield);
+    call.caller->onGone(nullptr);
+    if (exchange.error != ExchangeError::None) {
+        this->metrics.count("citronloft_spills_total", "result=\"failed\"");
+        if (exchange.error == ExchangeError::Cancelled)
+            return { ResultCode::CallerGone, {}, {} };
+        return { exchange.sent ? ResultCode::PeerLost : ResultCode::SpillRefused, {}, queueRetryAfter };
+    }
+    auto number = 0U;
+    const auto text = exchange.response.fields.get(codeHeader);
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    const auto known = std::ranges::find(
+        resultTable(), number, [](const ResultInfo& info) { return static_cast<unsigned>(info.code); });
+    const auto code = known == resultTable().end() ? ResultCode::PeerLost : known->code;
+    this->metrics.count(
+        "citronloft_spills_total", code == ResultCode::Answered ? "result=\"answered\"" : "result=\"refused\"");
+    if (code == ResultCode::Answered)
+        cleanAnswer(exchange.response, call.request->method == "HEAD");
+    return { code, std::move(exchange.response), queueRetryAfter };
+}
+
+auto Gateway::paySpill(const Call& call, const std::string& toRegion) -> bool
+{
+    const auto fromRegion = this->regionOf(call, this->option.zone);
+    if (fromRegion == toRegion)
+        return true;
+    const auto now = this->clock.now();
+    const auto bytes = static_cast<std::int64_t>(call.request->body.size()) + expectedAnswerBytes;
+    auto& rates = this->fleet.rates();
+    return rates.tryAcquire(bucketId(shiftBucketName(fromRegion, toRegion, true)), bytes * microTokensPerToken, now)
+        && rates.tryAcquire(bucketId(shiftBucketName(fromRegion, toRegion, false)), microTokensPerToken, now);
+}
+
+/// Serving hosts of other zones that report room for the pool: same region first, then by most room.
+auto Gateway::spillCandidates(const Call& call) const -> std::vector<HostEntry>
+{
+    const auto pool = static_cast<std::uint32_t>(bucketId(call.route->pool));
+    const auto roomOf = [&](const HostEntry& host) -> std::uint32_t {
+        const auto found = std::ranges::find(host.headroom, pool, &PoolHeadroom::pool);
+        return found == host.headroom.end() ? 0 : found->freeSlots;
+    };
+    auto hosts = this->fleet.membership().remoteHosts(this->clock.now());
+    std::erase_if(hosts, [&](const HostEntry& host) { return host.state != HostState::Serving || roomOf(host) == 0; });
+    const auto ownRegion = this->regionOf(call, this->option.zone);
+    std::ranges::stable_sort(hosts, [&](const HostEntry& left, const HostEntry& right) {
+        const auto isLeftNear = this->regionOf(call, left.zone) == ownRegion;
+        const auto isRightNear = this->regionOf(call, right.zone) == ownRegion;
+        return isLeftNear != isRightNear ? isLeftNear : roomOf(left) > roomOf(right);
+    });
+    return hosts;
+}
+
+auto Gateway::regionOf(const Call& call, const std::string& zone) const -> std::string
+{
+    const auto& zones = call.snapshot->active->config.zones;
+    const auto found = std::ranges::find(zones, zone, &Zone::name);
+    return found == zones.end() ? std::string {} : found->region;
+}
+
+/// A forwarded request has been checked and charged by its sender; this host decides by its own headroom alone.
+auto Gateway::handleSpilled(Call& call, boost::asio::yield_context yield) -> CallResult
+{
+    const auto ticket = this->signer.check(*call.request, this->clock.now());
+    if (!ticket.ok())
+        return { ResultCode::PeerUnauthenticated, {}, {} };
+    const auto& config = call.snapshot->active->config;
+    const auto route = std::ranges::find(config.routes, ticket->route, &Route::name);
+    const auto team = std::ranges::find(config.teams, ticket->team, &Team::name);
+    const auto isTeamKnown = team != config.teams.end();
+    if (route == config.routes.end() || (!isTeamKnown && !ticket->team.empty()))
+        return { ResultCode::SpillRefused, {}, queueRetryAfter };
+    call.route = &*route;
+    call.team = isTeamKnown ? &*team : nullptr;
+    call.teamIndex = isTeamKnown ? static_cast<std::size_t>(team - config.teams.begin()) : openTeamIndex;
+    const auto asked = parseMilliseconds(call.request->fields.get(deadlineHeader));
+    call.deadline = this->clock.now() + std::min(route->deadline, asked.value_or(route->deadline));
+    return this->runAttempts(call, yield);
+}
+
+auto Gateway::tick() -> void
+{
+    const auto now = this->clock.now();
+    this->lookup.tick(now);
+    const auto part = this->fleet.zonePart();
+    auto headroom = std::vector<PoolHeadroom> {};
+    for (auto& [name, admission] : this->admissions) {
+        admission->targets().setHostPart(part);
+        admission->tick();
+        const auto room = std::min<std::uint32_t>(admission->headroom(), UINT16_MAX);
+        headroom.push_back({ static_cast<std::uint32_t>(bucketId(name)), static_cast<std::uint16_t>(room) });
+    }
+    this->fleet.membership().self().headroom = std::move(headroom);
+}
+
+auto Gateway::probeTargets(boost::asio::yield_context yield) -> void
+{
+    for (auto& [name, admission] : this->admissions) {
+        for (const auto& view : admission->targets().views(this->clock.now()))
+            this->probe(*admission, view.address, yield);
+    }
+}
+
+auto Gateway::probe(PoolAdmission& admission, const std::string& target, boost::asio::yield_context yield) -> void
+{
+    const auto address = parseAddress(target);
+    const auto request = HttpRequest { "GET", "/healthz", {}, {} };
+    const auto exchange
+        = this->client->exchange(*address, request, { .deadline = this->clock.now() + probeTimeout }, yield);
+    const auto isOk = exchange.error == ExchangeError::None && exchange.response.status == 200;
+    admission.targets().probed(target, isOk, this->clock.now());
+    if (!isOk)
+        return;
+    const auto report = nlohmann::json::parse(exchange.response.body, nullptr, false);
+    if (!report.is_object())
+        return;
+    const auto inFlight = report.value("in_flight", 0U);
+    admission.targets().report(target, { inFlight, report.value("draining", false) }, this->clock.now());
+}
+
+auto Gateway::finish(CallResult result, TimePoint startedAt) -> HttpResponse
+{
+    const auto& info = resultInfo(result.code);
+    this->metrics.count("citronloft_results_total", "code=\"" + std::string { info.name } + "\"");
+    const auto hasAnswer = result.code == ResultCode::Answered || result.code == ResultCode::LookupAnswered;
+    if (result.code == ResultCode::Answered)
+        this->metrics.observe("citronloft_request_seconds", this->clock.now() - startedAt);
+    auto response = hasAnswer
+        ? std::move(result.response)
+        : problemResponse(result.code, std::chrono::ceil<std::chrono::milliseconds>(result.retryAfter));
+    response.fields.set(codeHeader, std::to_string(static_cast<unsigned>(info.code)));
+    response.fields.set(outcomeHeader, outcomeName(info.outcome));
+    if (this->snapshot)
+        response.fields.set("Citronloft-Config-Version", std::to_string(this->snapshot->active->version));
+    return response;
+}
+
+} // namespace citronloft
--- /dev/null
+++ b/src/citronloft/edge/http_client.cpp
@@ -0,0 +1,233 @@
+#include "citronloft/edge/http_client.hpp"
+
+#include <map>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace citronloft {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+
+struct Connection {
+    explicit Connection(asio::io_context& context)
+        : stream(context)
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    TimePoint openedAt;
+    TimePoint lastAnswerAt;
+};
+
+struct Peer {
+    std::vector<std::unique_ptr<Connection>> idle;
+    std::size_t open = 0;
+};
+
+auto toBeast(const Address& address, const HttpRequest& plain) -> http::request<http::string_body>
+{
+    auto request = http::request<http::string_body> {};
+    request.method_string(plain.method);
+    request.target(plain.target);
+    for (const auto& field : plain.fields)
+        request.insert(field.name, field.value);
+    request.set(http::field::host, formatAddress(address));
+    request.body() = plain.body;
+    if (!plain.body.empty() || plain.method == "POST" || plain.method == "PUT")
+        request.content_length(plain.body.size());
+    return request;
+}
+
+auto toPlain(http::response<http::string_body>&& response) -> HttpResponse
+{
+    auto plain = HttpResponse {};
+    plain.status = response.result_int();
+    for (const auto& field : response)
+        plain.fields.add(std::string_view { field.name_string() }, std::string_view { field.value() });
+    plain.body = std::move(response.body());
+    return plain;
+}
+
+class BeastHttpClient final : public HttpClient {
+public:
+    BeastHttpClient(asio::io_context& context, const Clock& clock, HttpClientOption option)
+        : context(context)
+        , clock(clock)
+        , option(option)
+    {
+    }
+
+    auto exchange(const Address& address, const HttpRequest& request, const ExchangeOption& exchangeOption,
+        asio::yield_context yield) -> Exchange override
+    {
+        auto result = Exchange {};
+        auto connection = this->takeIdle(address, exchangeOption.reuseWithin);
+        result.reused = connection != nullptr;
+        if (!connection)
+            connection = this->connect(address, exchangeOption, result, yield);
+        if (!connection)
+            return result;
+        const auto keep = this->run(*connection, toBeast(address, request), exchangeOption, result, yield);
+        this->release(address, std::move(connection), keep);
+        return result;
+    }
+
+    auto closeIdle(const Address& address) -> void override
+    {
+        auto& peer = this->peers[address];
+        peer.open -= peer.idle.size();
+        peer.idle.clear();
+    }
+
+    [[nodiscard]] auto openConnections(const Address& address) const -> std::size_t override
+    {
+        const auto found = this->peers.find(address);
+        return found == this->peers.end() ? 0 : found->second.open;
+    }
+
+private:
+    /// An idle connection must be silent: readable means closed, or an answer that belongs to nobody.
+    static auto isSilent(Connection& connection) -> bool
+    {
+        auto& socket = connection.stream.socket();
+        auto error = beast::error_code {};
+        auto byte = char {};
+        socket.non_blocking(true, error);
+        socket.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
+        return error == asio::error::would_block;
+    }
+
+    auto takeIdle(const Address& address, Duration reuseWithin) -> std::unique_ptr<Connection>
+    {
+        auto& peer = this->peers[address];
+        const auto now = this->clock.now();
+        while (!peer.idle.empty()) {
+            auto connection = std::move(peer.idle.back());
+            peer.idle.pop_back();
+            const auto isYoung = now - connection->openedAt < this->option.connectionAge;
+            if (!isYoung || !isSilent(*connection)) {
+                --peer.open;
+                continue;
+            }
+            if (now - connection->lastAnswerAt < reuseWithin)
+                return connection;
+            peer.idle.push_back(std::move(connection));
+            return nullptr;
+        }
+        return nullptr;
+    }
+
+    auto connect(const Address& address, const ExchangeOption& exchangeOption, Exchange& result,
+        asio::yield_context yield) -> std::unique_ptr<Connection>
+    {
+        auto connection = std::make_unique<Connection>(this->context);
+        auto error = beast::error_code {};
+        const auto ip = asio::ip::make_address(address.ip, error);
+        const auto limit = std::min(exchangeOption.deadline, this->clock.now() + this->option.connectTimeout);
+        connection->stream.expires_at(limit);
+        if (!error)
+            connection->stream.async_connect(Tcp::endpoint(ip, address.port), yield[error]);
+        if (error) {
+            const auto isTimeout = error == beast::error::timeout;
+            result.error = isTimeout ? ExchangeError::ConnectTimeout : ExchangeError::ConnectFailed;
+            return nullptr;
+        }
+        connection->stream.socket().set_option(Tcp::no_delay(true), error);
+        connection->openedAt = this->clock.now();
+        ++this->peers[address].open;
+        return connection;
+    }
+
+    /// @return whether the connection may be used again.
+    auto run(Connection& connection, http::request<http::string_body> request, const ExchangeOption& exchangeOption,
+        Exchange& result, asio::yield_context yield) -> bool
+    {
+        auto* cancel = exchangeOption.cancel;
+        if (cancel != nullptr && cancel->requested) {
+            result.error = ExchangeError::Cancelled;
+            return true;
+        }
+        if (cancel != nullptr)
+            cancel->action = [&connection] { connection.stream.close(); };
+        result.sent = true;
+        connection.stream.expires_at(exchangeOption.deadline);
+        auto error = beast::error_code {};
+        http::async_write(connection.stream, request, yield[error]);
+        auto keep = false;
+        if (error)
+            result.error = errorOf(error, false);
+        else
+            keep = this->readAnswer(connection, request.method() == http::verb::head, result, yield);
+        if (cancel != nullptr)
+            cancel->action = nullptr;
+        if (cancel != nullptr && cancel->requested && result.error != ExchangeError::None)
+            result.error = ExchangeError::Cancelled;
+        return keep;
+    }
+
+    auto readAnswer(Connection& connection, bool isHead, Exchange& result, asio::yield_context yield) -> bool
+    {
+        while (true) {
+            auto parser = http::response_parser<http::string_body> {};
+            parser.body_limit(this->option.bodyLimitBytes);
+            parser.skip(isHead);
+            auto error = beast::error_code {};
+            http::async_read(connection.stream, connection.buffer, parser, yield[error]);
+            if (error) {
+                result.error = errorOf(error, parser.got_some());
+                return false;
+            }
+            if (parser.get().result_int() / 100 == 1)
+                continue;
+            // A byte after the answer belongs to no request of this host; it poisons the connection.
+            const auto keep = parser.get().keep_alive() && !parser.get().need_eof() && connection.buffer.size() == 0;
+            connection.lastAnswerAt = this->clock.now();
+            result.response = toPlain(parser.release());
+            return keep;
+        }
+    }
+
+    static auto errorOf(const beast::error_code& error, bool gotSome) -> ExchangeError
+    {
+        if (error == beast::error::timeout)
+            return ExchangeError::AnswerTimeout;
+        if (error == http::error::body_limit)
+            return ExchangeError::AnswerTooLarge;
+        if (gotSome)
+            return ExchangeError::AnswerCut;
+        return ExchangeError::ConnectionLost;
+    }
+
+    auto release(const Address& address, std::unique_ptr<Connection> connection, bool keep) -> void
+    {
+        auto& peer = this->peers[address];
+        if (keep && peer.idle.size() < this->option.idlePerAddress)
+            peer.idle.push_back(std::move(connection));
+        else
+            --peer.open;
+    }
+
+    asio::io_context& context;
+    const Clock& clock;
+    HttpClientOption option;
+    std::map<Address, Peer> peers;
+};
+
+} // namespace
+
+auto makeHttpClient(boost::asio::io_context& context, const Clock& clock, HttpClientOption option)
+    -> std::shared_ptr<HttpClient>
+{
+    return std::make_shared<BeastHttpClient>(context, clock, option);
+}
+
+} // namespace citronloft
--- /dev/null
+++ b/src/citronloft/edge/http_object_store.cpp
@@ -0,0 +1,157 @@
+#include "citronloft/edge/http_object_store.hpp"
+
+#include <charconv>
+
+#include <boost/asio/detached.hpp>
+#include <nlohmann/json.hpp>
+
+#include "citronloft/base/digest.hpp"
+#include "citronloft/policy/circuit.hpp"
+
+namespace citronloft {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto objectsPath = std::string_view { "/v1/objects/" };
+
+auto versionOf(const HttpResponse& response) -> std::uint64_t
+{
+    auto tag = response.fields.get("ETag");
+    if (tag.size() >= 2 && tag.front() == '"')
+        tag = tag.substr(1, tag.size() - 2);
+    auto version = std::uint64_t { 0 };
+    std::from_chars(tag.data(), tag.data() + tag.size(), version);
+    return version;
+}
+
+auto statusOf(const Exchange& exchange) -> absl::Status
+{
+    if (exchange.error == ExchangeError::AnswerTimeout || exchange.error == ExchangeError::ConnectTimeout)
+        return absl::DeadlineExceededError("the platform did not answer in time");
+    if (exchange.error != ExchangeError::None)
+        return absl::UnavailableError("no whole answer from the platform");
+    switch (exchange.response.status) {
+    case 200:
+    case 201:
+        return absl::OkStatus();
+    case 304:
+    case 404:
+        return absl::NotFoundError("no such object");
+    case 412:
+        return absl::AbortedError("the object has another version");
+    default:
+        return absl::UnavailableError("the platform answered " + std::to_string(exchange.response.status));
+    }
+}
+
+class HttpObjectStore final : public ObjectStore, public std::enable_shared_from_this<HttpObjectStore> {
+public:
+    HttpObjectStore(asio::io_context& context, const Clock& clock, Metrics& metrics, HttpObjectStoreOption option)
+        : context(context)
+        , clock(clock)
+        , metrics(metrics)
+        , option(std::move(option))
+        , client(makeHttpClient(context, clock))
+        , circuit({ this->option.failuresToOpen, this->option.leastBackoff, this->option.greatestBackoff }, randomId())
+    {
+    }
+
+    auto get(const std::string& key, GetDone done) -> void override
+    {
+        this->call({ "GET", std::string { objectsPath } + key, {}, {} }, Duration {}, readObject(std::move(done)));
+    }
+
+    auto put(const std::string& key, std::string value, std::uint64_t expected, PutDone done) -> void override
+    {
+        auto request = HttpRequest { "PUT", std::string { objectsPath } + key, {}, std::move(value) };
+        if (expected == absentVersion)
+            request.fields.set("If-None-Match", "*");
+        else
+            request.fields.set("If-Match", "\"" + std::to_string(expected) + "\"");
+        this->call(std::move(request), Duration {}, [done = std::move(done)](const auto& status, auto& response) {
+            if (status.ok())
+                done(versionOf(response));
+            else
+                done(status);
+        });
+    }
+
+    auto watch(const std::string& key, std::uint64_t after, Duration wait, GetDone done) -> void override
+    {
+        const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+        auto target = std::string { objectsPath } + key;
+        target += "?watch=" + std::to_string(after) + "&wait_ms=" + std::to_string(waitMs);
+        this->call({ "GET", std::move(target), {}, {} }, wait, readObject(std::move(done)));
+    }
+
+    auto list(const std::string& prefix, ListDone done) -> void override
+    {
+        auto request = HttpRequest { "GET", "/v1/objects?prefix=" + prefix, {}, {} };
+        this->call(std::move(request), Duration {}, [done = std::move(done)](const auto& status, auto& response) {
+            if (!status.ok())
+                return done(status);
+            auto keys = nlohmann::json::parse(response.body, nullptr, false);
+            if (!keys.is_array())
+                return done(absl::UnavailableError("malformed list from the platform"));
+            done(keys.template get<std::vector<std::string>>());
+        });
+    }
+
+private:
+    using Done = std::function<void(const absl::Status&, HttpResponse&)>;
+
+    static auto readObject(GetDone done) -> Done
+    {
+        return [done = std::move(done)](const absl::Status& status, HttpResponse& response) {
+            if (status.ok())
+                done(StoredObject { std::move(response.body), versionOf(response) });
+            else
+                done(status);
+        };
+    }
+
+    auto call(HttpRequest request, Duration extraWait, Done done) -> void
+    {
+        asio::spawn(
+            this->context,
+            [self = this->shared_from_this(), request = std::move(request), extraWait, done = std::move(done)](
+                asio::yield_context yield) { self->run(request, extraWait, done, yield); },
+            asio::detached);
+    }
+
+    auto run(const HttpRequest& request, Duration extraWait, const Done& done, asio::yield_context yield) -> void
+    {
+        auto exchange = Exchange {};
+        if (!this->circuit.allow(this->clock.now())) {
+            this->metrics.count("citronloft_store_calls_total", "result=\"circuit-open\"");
+            done(absl::UnavailableError("the platform is not answering"), exchange.response);
+            return;
+        }
+        const auto deadline = this->clock.now() + this->option.callTimeout + extraWait;
+        exchange = this->client->exchange(this->option.address, request, { .deadline = deadline }, yield);
+        const auto status = statusOf(exchange);
+        const auto isDown = absl::IsUnavailable(status) || absl::IsDeadlineExceeded(status);
+        this->circuit.record(!isDown, this->clock.now());
+        this->metrics.count("citronloft_store_calls_total", isDown ? "result=\"failed\"" : "result=\"answered\"");
+        done(status, exchange.response);
+    }
+
+    asio::io_context& context;
+    const Clock& clock;
+    Metrics& metrics;
+    HttpObjectStoreOption option;
+    std::shared_ptr<HttpClient> client;
+    Circuit circuit;
+};
+
+} // namespace
+
+auto makeHttpObjectStore(boost::asio::io_context& context, const Clock& clock, Metrics& metrics,
+    HttpObjectStoreOption option) -> std::shared_ptr<ObjectStore>
+{
+    return std::make_shared<HttpObjectStore>(context, clock, metrics, std::move(option));
+}
+
+} // namespace citronloft
--- /dev/null
+++ b/src/citronloft/edge/pool_admission.cpp
@@ -0,0 +1,98 @@
+#include "citronloft/edge/pool_admission.hpp"
+
+namespace citronloft {
+
+namespace {
+
+auto refusalOf(Admission admission) -> ResultCode
+{
+    return admission == Admission::QueueFull ? ResultCode::QueueFull : ResultCode::DeadlineTooShort;
+}
+
+} // namespace
+
+PoolAdmission::PoolAdmission(
+    boost::asio::io_context& context, const Clock& clock, std::unique_ptr<RequestQueue> queue, TargetPool targets)
+    : context(context)
+    , clock(clock)
+    , queue(std::move(queue))
+    , pool(std::move(targets))
+{
+}
+
+auto PoolAdmission::acquire(const SlotRequest& request, CallerContext& caller, boost::asio::yield_context yield)
+    -> SlotDecision
+{
+    const auto now = this->clock.now();
+    if (!this->pool.isUsable(now))
+        return { {}, ResultCode::NoTarget };
+    if (this->queue->size() == 0) {
+        if (const auto target = this->pool.acquire(request.avoid, now))
+            return { *target, ResultCode::Answered };
+    }
+    const auto id = this->nextId++;
+    const auto queued = QueuedRequest { id, request.team, request.weight, request.deadline };
+    const auto admission = this->queue->offer(queued, this->pool.serviceTime(), this->pool.totalSlots(now), now);
+    if (admission != Admission::Queued)
+        return { {}, refusalOf(admission) };
+    auto waiter = std::make_shared<SlotWaiter>(this->context);
+    this->waiters[id] = waiter;
+    caller.onGone([this, id, waiter] {
+        this->queue->remove(id);
+        waiter->set({ {}, ResultCode::CallerGone });
+    });
+    const auto decision = waiter->wait(request.deadline, yield);
+    caller.onGone(nullptr);
+    this->queue->remove(id);
+    this->waiters.erase(id);
+    return decision.value_or(SlotDecision { {}, ResultCode::DeadlineTooShort });
+}
+
+auto PoolAdmission::tryAcquire(double reservedPart) -> SlotDecision
+{
+    const auto now = this->clock.now();
+    const auto reserved = static_cast<double>(this->pool.totalSlots(now)) * reservedPart;
+    if (this->queue->size() > 0 || static_cast<double>(this->pool.freeSlots(now)) <= reserved)
+        return { {}, ResultCode::SpillRefused };
+    const auto target = this->pool.acquire({}, now);
+    return target ? SlotDecision { *target, ResultCode::Answered } : SlotDecision { {}, ResultCode::SpillRefused };
+}
+
+auto PoolAdmission::release(const std::string& target, TargetResult result, Duration latency) -> void
+{
+    this->pool.release(target, result, latency, this->clock.now());
+    this->dispatch();
+}
+
+auto PoolAdmission::tick() -> void
+{
+    for (const auto& late : this->queue->removeLate(this->pool.serviceTime(), this->clock.now())) {
+        const auto waiter = this->waiters.find(late.id);
+        if (waiter != this->waiters.end())
+            waiter->second->set({ {}, ResultCode::DeadlineTooShort });
+    }
+    this->dispatch();
+}
+
+auto PoolAdmission::headroom() const -> std::uint32_t
+{
+    return this->queue->size() > 0 ? 0 : this->pool.freeSlots(this->clock.now());
+}
+
+auto PoolAdmission::dispatch() -> void
+{
+    const auto now = this->clock.now();
+    while (this->queue->size() > 0) {
+        const auto target = this->pool.acquire({}, now);
+        if (!target)
+            return;
+        const auto next = this->queue->next();
+        const auto waiter = next ? this->waiters.find(next->id) : this->waiters.end();
+        if (waiter == this->waiters.end())
+            this->pool.release(*target, TargetResult::Abandoned, {}, now);
+        else
+            waiter->second->set({ *target, ResultCode::Answered });
+    }
+}
+
+} // namespace citronloft
--- /dev/null
+++ b/src/citronloft/edge/spill.cpp
@@ -0,0 +1,80 @@
+#include "citronloft/edge/spill.hpp"
+
+#include <charconv>
+#include <optional>
+#include <vector>
+
+#include "citronloft/base/digest.hpp"
+
+namespace citronloft {
+
+namespace {
+
+/// Used nonces are remembered for so long; no request lives longer.
+constexpr auto nonceLifetime = std::chrono::minutes { 15 };
+constexpr auto fieldCount = std::size_t { 4 };
+
+auto splitFields(std::string_view text) -> std::vector<std::string>
+{
+    auto fields = std::vector<std::string> { {} };
+    for (const auto c : text) {
+        if (c == ';')
+            fields.emplace_back();
+        else
+            fields.back() += c;
+    }
+    return fields;
+}
+
+auto parseNonce(const std::string& text) -> std::optional<std::uint64_t>
+{
+    auto nonce = std::uint64_t { 0 };
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), nonce);
+    if (error != std::errc {} || end != text.data() + text.size())
+        return std::nullopt;
+    return nonce;
+}
+
+} // namespace
+
+SpillSigner::SpillSigner(std::string secret)
+    : secret(std::move(secret))
+{
+}
+
+auto SpillSigner::sign(const SpillTicket& ticket, const HttpRequest& request) const -> std::string
+{
+    return ticket.team + ";" + ticket.route + ";" + std::to_string(ticket.nonce) + ";" + this->sealOf(ticket, request);
+}
+
+auto SpillSigner::check(const HttpRequest& request, TimePoint now) -> absl::StatusOr<SpillTicket>
+{
+    const auto fields = splitFields(request.fields.get(spillHeader));
+    const auto nonce = fields.size() == fieldCount ? parseNonce(fields[2]) : std::nullopt;
+    const auto seal = fields.size() == fieldCount ? digestFromHex(fields[3]) : std::nullopt;
+    if (!nonce || !seal)
+        return absl::PermissionDeniedError("malformed ticket");
+    const auto ticket = SpillTicket { fields[0], fields[1], *nonce };
+    const auto expected = digestFromHex(this->sealOf(ticket, request));
+    if (!constantTimeEqual(*expected, *seal))
+        return absl::PermissionDeniedError("wrong seal");
+    if (now >= this->nextCleanAt) {
+        std::erase_if(this->usedNonces, [&](const auto& item) { return now >= item.second; });
+        this->nextCleanAt = now + nonceLifetime;
+    }
+    if (!this->usedNonces.try_emplace(*nonce, now + nonceLifetime).second)
+        return absl::AlreadyExistsError("ticket used before");
+    return ticket;
+}
+
+auto SpillSigner::sealOf(const SpillTicket& ticket, const HttpRequest& request) const -> std::string
+{
+    auto text = std::string { "spill" };
+    for (const auto& part : { ticket.team, ticket.route, std::to_string(ticket.nonce), request.method, request.target,
+             std::string { request.fields.get("Idempotency-Key") } })
+        text += "\n" + std::to_string(part.size()) + ":" + part;
+    text += "\n" + toHex(sha256(request.body));
+    return toHex(hmacSha256(this->secret, text));
+}
+
+} // namespace citronloft
--- /dev/null
+++ b/src/citronloft/fleet/config_manifest.cpp
@@ -0,0 +1,61 @@
+#include "citronloft/fleet/config_manifest.hpp"
+
+#include "citronloft/policy/shares.hpp"
+
+namespace citronloft {
+
+namespace {
+
+/// One record name in so many ends a chunk.
+constexpr auto recordsPerChunk = std::uint64_t { 512 };
+
+auto closeChunk(std::vector<RecordChange>& pending, std::size_t& bytes, std::vector<ConfigChunk>& chunks) -> void
+{
+    if (pending.empty())
+        return;
+    auto value = encode(pending);
+    chunks.push_back({ "config/chunks/" + toHex(sha256(value)), std::move(value) });
+    pending.clear();
+    bytes = 0;
+}
+
+} // namespace
+
+auto makeChunks(const ConfigRecords& records) -> std::vector<ConfigChunk>
+{
+    auto chunks = std::vector<ConfigChunk> {};
+    auto pending = std::vector<RecordChange> {};
+    auto bytes = std::size_t { 0 };
+    constexpr auto overhead = std::size_t { 32 };
+    for (const auto& [name, value] : records) {
+        const auto size = name.size() + value.size() + overhead;
+        if (bytes + size > greatestChunkBytes)
+            closeChunk(pending, bytes, chunks);
+        pending.push_back({ name, value });
+        bytes += size;
+        if (bucketId(name) % recordsPerChunk == 0)
+            closeChunk(pending, bytes, chunks);
+    }
+    closeChunk(pending, bytes, chunks);
+    return chunks;
+}
+
+auto readChunk(const std::string& value, ConfigRecords& records) -> absl::Status
+{
+    const auto changes = decode<std::vector<RecordChange>>(value);
+    if (changes.ok())
+        applyChanges(records, *changes);
+    return changes.status();
+}
+
+auto digestOf(const ConfigRecords& records) -> std::string
+{
+    auto text = std::string {};
+    for (const auto& [name, value] : records) {
+        text += std::to_string(name.size()) + ":" + name;
+        text += std::to_string(value.size()) + ":" + value;
+    }
+    return toHex(sha256(text));
+}
+
+} // namespace citronloft
--- /dev/null
+++ b/src/citronloft/fleet/fleet_host.cpp
@@ -0,0 +1,154 @@
+#include "citronloft/fleet/fleet_host.hpp"
+
+#include <algorithm>
+
+#include "citronloft/fleet/slot_map.hpp"
+
+namespace citronloft {
+
+namespace {
+
+/// The store counts as reachable for so long after its last answer.
+constexpr auto storeReachableFor = std::chrono::seconds { 5 };
+/// A host that has heard nothing from a zone waits so long for its steward before it stops handing over.
+constexpr auto shiftBurstSeconds = 1.0;
+
+} // namespace
+
+/// Lends from membership's view: zone peers first, then the hosts of other zones.
+class FleetHost::LenderList final : public PeerDirectory {
+public:
+    explicit LenderList(const Membership& members)
+        : members(members)
+    {
+    }
+
+    [[nodiscard]] auto lenders(TimePoint now) const -> std::vector<Lender> override
+    {
+        auto list = std::vector<Lender> {};
+        for (const auto& peer : this->members.zonePeers(now))
+            list.push_back({ peer.incarnation, peer.peerAddress(), true });
+        for (const auto& host : this->members.remoteHosts(now))
+            list.push_back({ host.incarnation, host.peerAddress(), false });
+        return list;
+    }
+
+private:
+    const Membership& members;
+};
+
+FleetHost::FleetHost(FleetHostOption option, HostEntry self, FleetSurroundings surroundings, std::uint64_t seed,
+    ConfigFollower::InForce inForce)
+    : surroundings(surroundings)
+    , members(option.membership, self, surroundings.transport, seed)
+    , lenders(std::make_unique<LenderList>(members))
+    , holder(option.lease, self.incarnation, members, surroundings.transport)
+    , limiter(option.rates, option.lease, self.incarnation, *lenders, surroundings.transport)
+    , zoneSteward(std::make_shared<ZoneSteward>(option.lease, self.incarnation, self.zone, surroundings.clock, members,
+          surroundings.transport, surroundings.store))
+    , claimRegistry(std::make_shared<ClaimRegistry>(surroundings.store))
+    , inForce(std::move(inForce))
+{
+    this->follower = std::make_shared<ConfigFollower>(surroundings.clock, this->members, surroundings.store,
+        surroundings.fetcher, [this](const auto& active) { this->putInForce(active); });
+    this->members.setConfigAge([this] { return this->follower->age(this->surroundings.clock.now()); });
+}
+
+FleetHost::~FleetHost() = default;
+
+auto FleetHost::tick() -> void
+{
+    const auto now = this->surroundings.clock.now();
+    auto& self = this->members.self();
+    const auto answeredAt = this->zoneSteward->storeAnsweredAt();
+    self.storeReachable = answeredAt != TimePoint {} && now - answeredAt < storeReachableFor;
+    self.knownEpoch = this->holder.knownEpoch();
+    this->members.tick(now);
+    this->zoneSteward->tick(now);
+    this->holder.tick(now);
+    this->follower->tick(now);
+    this->limiter.setSlots(this->holder.usable(now), now);
+    this->limiter.tick(now);
+}
+
+auto FleetHost::receive(const Address& from, const PeerMessage& message) -> void
+{
+    const auto now = this->surroundings.clock.now();
+    if (const auto* gossip = std::get_if<GossipMessage>(&message)) {
+        this->members.receive(*gossip, now);
+        this->follower->notePeer(*gossip, now);
+    } else if (const auto* request = std::get_if<RenewRequest>(&message)) {
+        this->zoneSteward->receive(*request, from, now);
+    } else if (const auto* grant = std::get_if<RenewGrant>(&message)) {
+        this->holder.receive(*grant, now);
+        this->limiter.setSlots(this->holder.usable(now), now);
+    } else if (const auto* ask = std::get_if<LoanAsk>(&message)) {
+        // A paused host may run this before its next tick; what it lends must still be its own.
+        this->limiter.setSlots(this->holder.usable(now), now);
+        this->limiter.receive(*ask, from, now);
+    } else if (const auto* loan = std::get_if<LoanGrant>(&message)) {
+        this->limiter.receive(*loan, now);
+    }
+}
+
+auto FleetHost::leave() -> void
+{
+    this->holder.leave();
+    this->zoneSteward->leave();
+    this->members.self().state = HostState::Leaving;
+    this->members.hasten();
+}
+
+auto FleetHost::hasHandedOver() const -> bool
+{
+    const auto now = this->surroundings.clock.now();
+    const auto isAlone = !this->members.steward(now).has_value();
+    return (this->holder.isEmpty(now) || isAlone) && this->zoneSteward->heldEpoch() == 0;
+}
+
+auto FleetHost::zonePart() const -> double
+{
+    const auto slots = countSlots(this->holder.usable(this->surroundings.clock.now()));
+    return static_cast<double>(slots) / slotsPerZone;
+}
+
+auto FleetHost::putInForce(const std::shared_ptr<const ActiveConfig>& active) -> void
+{
+    const auto now = this->surroundings.clock.now();
+    this->limiter.setBuckets(bucketsOf(active->config, this->members.self().zone), now);
+    this->inForce(active);
+}
+
+auto teamBucketName(const std::string& team) -> std::string { return "team/" + team; }
+
+auto shiftBucketName(const std::string& from, const std::string& to, bool bytes) -> std::string
+{
+    return (bytes ? "link/" : "shift/") + from + "/" + to;
+}
+
+auto bucketsOf(const Config& config, const std::string& zone) -> std::vector<BucketSpec>
+{
+    auto specs = std::vector<BucketSpec> {};
+    auto parts = std::vector<std::uint32_t> {};
+    for (const auto& item : config.zones)
+        parts.push_back(item.part);
+    const auto place = std::ranges::find(config.zones, zone, &Zone::name);
+    const auto index = static_cast<std::size_t>(place - config.zones.begin());
+    for (const auto& team : config.teams)
+        specs.push_back(makeBucketSpec(teamBucketName(team.name), team.rate, team.burst, parts, index));
+    const auto region = place == config.zones.end() ? std::string {} : place->region;
+    for (const auto& shift : config.shifts) {
+        // Only the zones of the sending region hold a part of what may leave it.
+        auto senders = parts;
+        for (auto i = std::size_t { 0 }; i < senders.size(); ++i)
+            senders[i] = config.zones[i].region == shift.from ? senders[i] : 0;
+        const auto bytesBurst = shift.bytesPerSecond * shiftBurstSeconds;
+        specs.push_back(
+            makeBucketSpec(shiftBucketName(shift.from, shift.to, false), shift.rate, shift.burst, senders, index));
+        specs.push_back(makeBucketSpec(
+            shiftBucketName(shift.from, shift.to, true), shift.bytesPerSecond, bytesBurst, senders, index));
+    }
+    return specs;
+}
+
+} // namespace citronloft
--- /dev/null
+++ b/src/citronloft/fleet/rate_limiter.cpp
@@ -0,0 +1,335 @@
+#include "citronloft/fleet/rate_limiter.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace citronloft {
+
+namespace {
+
+constexpr auto demandTimeConstant = std::chrono::milliseconds { 200 };
+/// Asked beyond the need, since some lenders have less than their part of it.
+constexpr auto askSurplus = 1.5;
+constexpr auto leastRetryAfter = std::chrono::milliseconds { 100 };
+constexpr auto greatestRetryAfter = std::chrono::seconds { 10 };
+
+auto seconds(Duration duration) -> double { return std::chrono::duration<double>(duration).count(); }
+
+} // namespace
+
+RateLimiter::RateLimiter(RateLimiterOption option, LeaseTerms terms, std::uint64_t incarnation,
+    const PeerDirectory& peers, PeerTransport& transport)
+    : option(option)
+    , terms(terms)
+    , incarnation(incarnation)
+    , peers(peers)
+    , transport(transport)
+{
+}
+
+auto RateLimiter::setBuckets(const std::vector<BucketSpec>& specs, TimePoint now) -> void
+{
+    auto kept = decltype(this->buckets) {};
+    for (const auto& spec : specs) {
+        auto old = this->buckets.find(spec.id);
+        auto bucket = old == this->buckets.end() ? std::make_unique<Bucket>(now) : std::move(old->second);
+        if (bucket->spec != spec) {
+            bucket->spec = spec;
+            bucket->escrow.setShare(shareOfSlots(spec, this->slots), now);
+        }
+        kept.insert_or_assign(spec.id, std::move(bucket));
+    }
+    std::swap(this->buckets, kept);
+    for (auto& [id, removed] : kept) {
+        if (!removed)
+            continue;
+        for (auto& waiting : std::exchange(removed->waiting, {}))
+            waiting.done({});
+    }
+}
+
+auto RateLimiter::setSlots(std::vector<SlotRange> slots, TimePoint now) -> void
+{
+    if (slots == this->slots)
+        return;
+    this->slots = std::move(slots);
+    for (auto& [id, bucket] : this->buckets)
+        bucket->escrow.setShare(shareOfSlots(bucket->spec, this->slots), now);
+}
+
+auto RateLimiter::acquire(std::uint64_t bucketId, std::int64_t amount, TimePoint deadline, TimePoint now, Done done)
+    -> std::uint64_t
+{
+    auto* bucket = this->find(bucketId);
+    if (bucket == nullptr) {
+        done({});
+        return 0;
+    }
+    bucket->demandSinceTick += amount;
+    if (bucket->waiting.empty() && bucket->escrow.take(amount, now)) {
+        ++this->counts.admittedAtOnce;
+        done({ .admitted = true, .waited = false, .retryAfter = {} });
+        return 0;
+    }
+    const auto mayWait = this->option.strategy != LendingStrategy::None && now >= bucket->emptyUntil
+        && bucket->waiting.size() < this->option.greatestWaiting;
+    if (!mayWait) {
+        this->refuse(*bucket, done, amount, false, now);
+        return 0;
+    }
+    const auto id = this->nextId++;
+    bucket->waiting.push_back({ id, amount, std::min(deadline, now + this->option.greatestWait), std::move(done) });
+    this->askFor(*bucket, now);
+    this->sendAsks(now);
+    // The directory may be empty, or all of its hosts asked in vain already.
+    this->endHopelessWaits(*bucket, now);
+    return id;
+}
+
+auto RateLimiter::tryAcquire(std::uint64_t bucketId, std::int64_t amount, TimePoint now) -> bool
+{
+    auto* bucket = this->find(bucketId);
+    if (bucket == nullptr)
+        return false;
+    bucket->demandSinceTick += amount;
+    return bucket->escrow.take(amount, now);
+}
+
+auto RateLimiter::cancel(std::uint64_t id) -> void
+{
+    for (auto& [bucketId, bucket] : this->buckets)
+        std::erase_if(bucket->waiting, [&](const Waiting& waiting) { return waiting.id == id; });
+}
+
+auto RateLimiter::tick(TimePoint now) -> void
+{
+    const auto elapsed = this->lastTickAt == TimePoint {} ? Duration::zero() : now - this->lastTickAt;
+    this->lastTickAt = now;
+    this->expireAsks(now);
+    for (auto& [id, bucket] : this->buckets) {
+        this->updateDemand(*bucket, elapsed);
+        this->serveWaiting(*bucket, now);
+        this->askFor(*bucket, now);
+        this->endHopelessWaits(*bucket, now);
+        this->collectSettlements(*bucket, now);
+    }
+    this->sendAsks(now);
+}
+
+auto RateLimiter::receive(const LoanAsk& ask, const Address& from, TimePoint now) -> void
+{
+    for (const auto& settlement : ask.settlements) {
+        if (auto* bucket = this->find(settlement.bucket))
+            bucket->escrow.settle({ ask.borrower, settlement.sequence }, settlement.returned, now);
+    }
+    if (ask.entries.empty())
+        return;
+    ++this->counts.asksReceived;
+    auto& newest = this->newestAskOf[ask.borrower];
+    if (ask.sequence <= newest)
+        return;
+    newest = ask.sequence;
+    auto grant = LoanGrant { this->incarnation, ask.sequence, {} };
+    const auto reservedUntil = now + this->terms.reservation();
+    for (const auto& entry : ask.entries) {
+        auto lent = std::int64_t { 0 };
+        if (auto* bucket = this->find(entry.bucket)) {
+            const auto keep = static_cast<std::int64_t>(bucket->demand * seconds(this->option.horizon));
+            lent = bucket->escrow.lend(entry.amount, keep, { ask.borrower, ask.sequence }, reservedUntil, now);
+        }
+        this->counts.loansGranted += lent > 0 ? 1 : 0;
+        grant.entries.push_back({ entry.bucket, lent });
+    }
+    this->transport.send(from, grant);
+}
+
+auto RateLimiter::receive(const LoanGrant& grant, TimePoint now) -> void
+{
+    const auto found = this->openAsks.find(grant.sequence);
+    if (found == this->openAsks.end() || found->second.lender != grant.lender)
+        return;
+    auto ask = std::move(found->second);
+    this->openAsks.erase(found);
+    this->closeAsk(ask);
+    // A loan that arrives past its validity is dropped; the lender's reservation runs out by itself.
+    if (now >= ask.expiresAt)
+        return;
+    for (const auto& entry : grant.entries) {
+        auto* bucket = this->find(entry.bucket);
+        const auto wasAsked = std::ranges::find(ask.buckets, entry.bucket) != ask.buckets.end();
+        if (bucket == nullptr || !wasAsked || entry.amount <= 0)
+            continue;
+        bucket->escrow.borrow(entry.amount, grant.lender, grant.sequence, ask.expiresAt);
+        bucket->emptyUntil = TimePoint {};
+        this->serveWaiting(*bucket, now);
+    }
+    for (const auto id : ask.buckets) {
+        auto* bucket = this->find(id);
+        if (bucket == nullptr)
+            continue;
+        this->askFor(*bucket, now);
+        this->endHopelessWaits(*bucket, now);
+    }
+    this->sendAsks(now);
+}
+
+auto RateLimiter::available(std::uint64_t bucket, TimePoint now) -> std::int64_t
+{
+    auto* found = this->find(bucket);
+    return found == nullptr ? 0 : found->escrow.available(now);
+}
+
+auto RateLimiter::updateDemand(Bucket& bucket, Duration elapsed) const -> void
+{
+    if (elapsed <= Duration::zero())
+        return;
+    const auto rate = static_cast<double>(bucket.demandSinceTick) / seconds(elapsed);
+    const auto weight = 1 - std::exp(-seconds(elapsed) / seconds(demandTimeConstant));
+    bucket.demand += (rate - bucket.demand) * weight;
+    bucket.demandSinceTick = 0;
+}
+
+/// Micro-tokens that the waiting requests and the demand of the next moments lack.
+auto RateLimiter::missing(Bucket& bucket, TimePoint now) const -> std::int64_t
+{
+    const auto waiting = std::accumulate(bucket.waiting.begin(), bucket.waiting.end(), std::int64_t { 0 },
+        [](std::int64_t sum, const Waiting& item) { return sum + item.amount; });
+    const auto horizon = seconds(this->option.horizon);
+    const auto minted = static_cast<double>(bucket.escrow.share().microTokensPerSecond) * horizon;
+    // Demand beyond the bucket's whole rate can't be met by anybody, so it is not borrowed for.
+    const auto wanted = std::min(bucket.demand, static_cast<double>(bucket.spec.whole.microTokensPerSecond)) * horizon;
+    const auto ahead = std::max(wanted - minted, 0.0);
+    // A demand of less than a token in the horizon is not worth a message; a request will ask when it comes.
+    const auto prefetch = ahead < static_cast<double>(microTokensPerToken) ? 0 : static_cast<std::int64_t>(ahead);
+    return waiting + prefetch - bucket.escrow.available(now);
+}
+
+auto RateLimiter::askFor(Bucket& bucket, TimePoint now) -> void
+{
+    const auto need = this->missing(bucket, now);
+    if (this->option.strategy == LendingStrategy::None || need <= 0) {
+        bucket.isSweeping = false;
+        return;
+    }
+    if (!bucket.isSweeping) {
+        if (now < bucket.nextAskAt || now < bucket.emptyUntil)
+            return;
+        bucket.unasked = this->peers.lenders(now);
+        if (this->option.strategy == LendingStrategy::Zone)
+            std::erase_if(bucket.unasked, [](const Lender& lender) { return !lender.isSameZone; });
+        bucket.isSweeping = true;
+        bucket.nextAskAt = now + this->option.askInterval;
+    }
+    if (bucket.openAsks > 0)
+        return;
+    const auto count = std::min(this->option.fanout, bucket.unasked.size());
+    for (auto i = std::size_t { 0 }; i < count; ++i) {
+        const auto part
+            = static_cast<std::int64_t>(static_cast<double>(need) * askSurplus / static_cast<double>(count));
+        auto& ask = this->outgoing[bucket.unasked[i].incarnation];
+        ask.entries.push_back({ bucket.spec.id, std::max(part, std::min(need, microTokensPerToken)) });
+        ++bucket.openAsks;
+    }
+    bucket.unasked.erase(bucket.unasked.begin(), bucket.unasked.begin() + static_cast<std::ptrdiff_t>(count));
+}
+
+auto RateLimiter::sendAsks(TimePoint now) -> void
+{
+    if (this->outgoing.empty())
+        return;
+    const auto known = this->peers.lenders(now);
+    for (auto& [lender, ask] : std::exchange(this->outgoing, {})) {
+        ask.borrower = this->incarnation;
+        ask.sequence = this->nextSequence++;
+        auto open = OpenAsk { lender, {}, now + this->terms.loanValidity, now + this->option.askTimeout, true };
+        for (const auto& entry : ask.entries)
+            open.buckets.push_back(entry.bucket);
+        const auto peer = std::ranges::find(known, lender, &Lender::incarnation);
+        if (!open.buckets.empty()) {
+            ++this->counts.asksSent;
+            this->openAsks[ask.sequence] = std::move(open);
+        }
+        if (peer != known.end())
+            this->transport.send(peer->address, ask);
+    }
+}
+
+auto RateLimiter::collectSettlements(Bucket& bucket, TimePoint now) -> void
+{
+    const auto wanted = std::max(this->missing(bucket, now) + bucket.escrow.available(now), std::int64_t { 0 });
+    // Twice the wanted amount may stay, so that tokens do not go to and fro.
+    bucket.escrow.giveBack(wanted * 2, now);
+    for (const auto& loan : bucket.escrow.takeSettled(now))
+        this->outgoing[loan.lender].settlements.push_back({ bucket.spec.id, loan.sequence, loan.returned });
+}
+
+auto RateLimiter::expireAsks(TimePoint now) -> void
+{
+    for (auto& [sequence, ask] : this->openAsks) {
+        if (now >= ask.countsUntil)
+            this->closeAsk(ask);
+    }
+    std::erase_if(this->openAsks, [&](const auto& item) { return now >= item.second.expiresAt; });
+}
+
+/// The sweeps of the ask's buckets no longer wait for its answer.
+auto RateLimiter::closeAsk(OpenAsk& ask) -> void
+{
+    if (!std::exchange(ask.counts, false))
+        return;
+    for (const auto id : ask.buckets) {
+        auto* bucket = this->find(id);
+        if (bucket != nullptr && bucket->openAsks > 0)
+            --bucket->openAsks;
+    }
+}
+
+auto RateLimiter::serveWaiting(Bucket& bucket, TimePoint now) -> void
+{
+    while (!bucket.waiting.empty() && bucket.escrow.take(bucket.waiting.front().amount, now)) {
+        const auto waiting = std::move(bucket.waiting.front());
+        bucket.waiting.pop_front();
+        ++this->counts.admittedAfterLoan;
+        waiting.done({ .admitted = true, .waited = true, .retryAfter = {} });
+    }
+}
+
+/// A wait has no hope once every lender has been asked and none has an answer outstanding.
+auto RateLimiter::endHopelessWaits(Bucket& bucket, TimePoint now) -> void
+{
+    const auto isSwept = bucket.isSweeping && bucket.unasked.empty() && bucket.openAsks == 0;
+    if (isSwept) {
+        bucket.isSweeping = false;
+        bucket.emptyUntil = now + this->option.emptyInterval;
+    }
+    auto ended = std::deque<Waiting> {};
+    if (isSwept)
+        std::swap(ended, bucket.waiting);
+    while (!bucket.waiting.empty() && now >= bucket.waiting.front().deadline) {
+        ended.push_back(std::move(bucket.waiting.front()));
+        bucket.waiting.pop_front();
+    }
+    for (const auto& waiting : ended)
+        this->refuse(bucket, waiting.done, waiting.amount, !isSwept, now);
+}
+
+auto RateLimiter::refuse(Bucket& bucket, const Done& done, std::int64_t amount, bool late, TimePoint now) -> void
+{
+    ++(late ? this->counts.refusedLate : this->counts.refusedEmpty);
+    const auto own = bucket.escrow.timeUntil(amount, now);
+    const auto wholeRate = std::max(static_cast<double>(bucket.spec.whole.microTokensPerSecond), 1.0);
+    const auto fleet = std::chrono::duration<double>(static_cast<double>(amount) / wholeRate);
+    const auto fleetTime
+        = fleet > greatestRetryAfter ? Duration { greatestRetryAfter } : std::chrono::duration_cast<Duration>(fleet);
+    const auto wait = std::clamp<Duration>(std::min(own, fleetTime), leastRetryAfter, greatestRetryAfter);
+    done({ .admitted = false, .waited = late, .retryAfter = wait });
+}
+
+auto RateLimiter::find(std::uint64_t bucket) -> Bucket*
+{
+    const auto found = this->buckets.find(bucket);
+    return found == this->buckets.end() ? nullptr : found->second.get();
+}
+
+} // namespace citronloft
--- /dev/null
+++ b/src/citronloft/policy/escrow_bucket.cpp
@@ -0,0 +1,163 @@
+#include "citronloft/policy/escrow_bucket.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+#include <utility>
+
+namespace citronloft {
+
+namespace {
+
+__extension__ using WideInteger = __int128;
+
+constexpr auto nanosecondsPerSecond = std::int64_t { 1'000'000'000 };
+
+} // namespace
+
+EscrowBucket::EscrowBucket(TimePoint now)
+    : mintedAt(now)
+{
+}
+
+auto EscrowBucket::setShare(BucketShare share, TimePoint now) -> void
+{
+    this->advance(now);
+    this->current = share;
+    this->remainder = 0;
+    this->capToShare();
+}
+
+auto EscrowBucket::available(TimePoint now) -> std::int64_t
+{
+    this->advance(now);
+    return std::accumulate(this->borrowed.begin(), this->borrowed.end(), this->tokens,
+        [](std::int64_t sum, const Borrowed& loan) { return sum + loan.left; });
+}
+
+auto EscrowBucket::take(std::int64_t amount, TimePoint now) -> bool
+{
+    if (this->available(now) < amount)
+        return false;
+    for (auto& loan : this->borrowed) {
+        const auto part = std::min(amount, loan.left);
+        loan.left -= part;
+        amount -= part;
+    }
+    this->tokens -= amount;
+    this->dropLapsedLoans(now);
+    return true;
+}
+
+auto EscrowBucket::lend(std::int64_t amount, std::int64_t keep, LoanId loan, TimePoint reservedUntil, TimePoint now)
+    -> std::int64_t
+{
+    this->advance(now);
+    const auto given = std::min(amount, this->tokens - keep);
+    if (given <= 0 || this->reservations.contains(loan))
+        return 0;
+    this->tokens -= given;
+    this->reservations[loan] = { given, reservedUntil };
+    return given;
+}
+
+auto EscrowBucket::settle(LoanId loan, std::int64_t returned, TimePoint now) -> void
+{
+    this->advance(now);
+    const auto found = this->reservations.find(loan);
+    if (found == this->reservations.end())
+        return;
+    this->tokens += std::clamp<std::int64_t>(returned, 0, found->second.amount);
+    this->reservations.erase(found);
+    this->capToShare();
+}
+
+auto EscrowBucket::giveBack(std::int64_t keep, TimePoint now) -> void
+{
+    auto surplus = this->available(now) - keep;
+    while (surplus > 0 && !this->borrowed.empty() && this->borrowed.back().left <= surplus) {
+        const auto loan = this->borrowed.back();
+        this->borrowed.pop_back();
+        this->settled.push_back({ loan.lender, loan.sequence, loan.left });
+        surplus -= loan.left;
+    }
+}
+
+auto EscrowBucket::borrow(std::int64_t amount, std::uint64_t lender, std::uint64_t sequence, TimePoint expiresAt)
+    -> void
+{
+    const auto place = std::ranges::upper_bound(this->borrowed, expiresAt, {}, &Borrowed::expiresAt);
+    this->borrowed.insert(place, { amount, lender, sequence, expiresAt });
+}
+
+auto EscrowBucket::takeSettled(TimePoint now) -> std::vector<SettledLoan>
+{
+    this->dropLapsedLoans(now);
+    return std::exchange(this->settled, {});
+}
+
+auto EscrowBucket::timeUntil(std::int64_t amount, TimePoint now) -> Duration
+{
+    const auto missing = amount - this->available(now);
+    if (missing <= 0)
+        return Duration::zero();
+    if (this->current.microTokensPerSecond <= 0 || this->current.capMicroTokens < amount)
+        return Duration::max();
+    return Duration { static_cast<std::int64_t>(
+        WideInteger { missing } * nanosecondsPerSecond / this->current.microTokensPerSecond + 1) };
+}
+
+auto EscrowBucket::reserved() const -> std::int64_t
+{
+    return std::accumulate(this->reservations.begin(), this->reservations.end(), std::int64_t { 0 },
+        [](std::int64_t sum, const auto& entry) { return sum + entry.second.amount; });
+}
+
+/// Mints up to each reservation's end in turn, since the cap that may be filled grows at that moment.
+auto EscrowBucket::advance(TimePoint now) -> void
+{
+    this->dropLapsedLoans(now);
+    while (true) {
+        const auto next
+            = std::ranges::min_element(this->reservations, {}, [](const auto& entry) { return entry.second.until; });
+        if (next == this->reservations.end() || next->second.until > now)
+            break;
+        this->mint(this->mintedAt, std::max(this->mintedAt, next->second.until));
+        this->reservations.erase(next);
+    }
+    this->mint(this->mintedAt, now);
+}
+
+auto EscrowBucket::mint(TimePoint from, TimePoint to) -> void
+{
+    if (to <= from)
+        return;
+    const auto minted = WideInteger { (to - from).count() } * this->current.microTokensPerSecond + this->remainder;
+    const auto whole
+        = std::min<WideInteger>(minted / nanosecondsPerSecond, std::numeric_limits<std::int64_t>::max() / 4);
+    this->remainder = static_cast<std::int64_t>(minted % nanosecondsPerSecond);
+    this->tokens += static_cast<std::int64_t>(whole);
+    this->mintedAt = to;
+    this->capToShare();
+}
+
+auto EscrowBucket::dropLapsedLoans(TimePoint now) -> void
+{
+    std::erase_if(this->borrowed, [&](const Borrowed& loan) {
+        if (loan.left > 0 && now < loan.expiresAt)
+            return false;
+        this->settled.push_back({ loan.lender, loan.sequence, 0 });
+        return true;
+    });
+}
+
+auto EscrowBucket::capToShare() -> void
+{
+    const auto room = std::max<std::int64_t>(this->current.capMicroTokens - this->reserved(), 0);
+    if (this->tokens < room)
+        return;
+    this->tokens = room;
+    this->remainder = 0;
+}
+
+} // namespace citronloft
--- /dev/null
+++ b/src/citronloft/policy/host_lifecycle.cpp
@@ -0,0 +1,72 @@
+#include "citronloft/policy/host_lifecycle.hpp"
+
+#include <array>
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace citronloft {
+
+namespace {
+
+namespace msm = boost::msm;
+namespace front = boost::msm::front;
+
+struct ConfigInForce { };
+struct StopRequested { };
+struct Drained { };
+
+struct LifecycleDefinition : front::state_machine_def<LifecycleDefinition> {
+    struct Joining : front::state<> { };
+    struct Serving : front::state<> { };
+    struct Leaving : front::state<> { };
+    struct Stopped : front::state<> { };
+
+    using initial_state = Joining; // NOLINT(readability-identifier-naming): name required by the library
+
+    template <typename From, typename Event, typename To> using Row = front::Row<From, Event, To>;
+
+    // NOLINTNEXTLINE(readability-identifier-naming): name required by the library
+    struct transition_table
+        : boost::mpl::vector<Row<Joining, ConfigInForce, Serving>, Row<Joining, StopRequested, Leaving>,
+              Row<Serving, StopRequested, Leaving>, Row<Leaving, Drained, Stopped>> { };
+
+    template <typename Machine, typename Event> auto no_transition(const Event&, Machine&, int) -> void { }
+};
+
+class MsmHostLifecycle final : public HostLifecycle {
+public:
+    MsmHostLifecycle() { this->machine.start(); }
+
+    auto process(HostEvent event) -> void override
+    {
+        using Handler = void (MsmHostLifecycle::*)();
+        constexpr auto handlers = std::to_array<Handler>({ &MsmHostLifecycle::feed<ConfigInForce>,
+            &MsmHostLifecycle::feed<StopRequested>, &MsmHostLifecycle::feed<Drained> });
+        (this->*handlers.at(static_cast<std::size_t>(event)))();
+    }
+
+    /// States are numbered in the order in which the transition table names them.
+    [[nodiscard]] auto state() const -> HostState override
+    {
+        return static_cast<HostState>(this->machine.current_state()[0]);
+    }
+
+private:
+    template <typename Event> auto feed() -> void { this->machine.process_event(Event {}); }
+
+    msm::back::state_machine<LifecycleDefinition> machine;
+};
+
+} // namespace
+
+auto makeHostLifecycle() -> std::unique_ptr<HostLifecycle> { return std::make_unique<MsmHostLifecycle>(); }
+
+auto hostStateName(HostState state) -> std::string_view
+{
+    constexpr auto names = std::to_array<std::string_view>({ "joining", "serving", "leaving", "stopped" });
+    return names.at(static_cast<std::size_t>(state));
+}
+
+} // namespace citronloft
--- /dev/null
+++ b/src/citronloft/policy/retry.cpp
@@ -0,0 +1,27 @@
+#include "citronloft/policy/retry.hpp"
+
+#include <algorithm>
+
+namespace citronloft {
+
+RetryBudget::RetryBudget(RetryOption option)
+    : option(option)
+    , balance(option.budgetCap)
+{
+}
+
+auto RetryBudget::recordFirstAttempt() -> void
+{
+    this->balance = std::min(this->balance + this->option.budgetRatio, this->option.budgetCap);
+}
+
+auto RetryBudget::tryRetry(const AttemptResult& result, TimePoint now) -> bool
+{
+    const auto isSafe = result.outcome == Outcome::NotRun || (result.outcome == Outcome::Unknown && result.idempotent);
+    if (!isSafe || result.attempts >= this->option.attempts || now >= result.deadline || this->balance < 1)
+        return false;
+    this->balance -= 1;
+    return true;
+}
+
+} // namespace citronloft
--- /dev/null
+++ b/src/citronloft/policy/shares.cpp
@@ -0,0 +1,84 @@
+#include "citronloft/policy/shares.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+#include <xxhash.h>
+
+namespace citronloft {
+
+namespace {
+
+auto toMicro(double tokens) -> std::int64_t
+{
+    return static_cast<std::int64_t>(std::floor(tokens * static_cast<double>(microTokensPerToken)));
+}
+
+/// Largest remainders first; ties go to a bucket-specific zone, so that small buckets do not pile up in one zone.
+auto divideByWeights(std::uint32_t total, std::span<const std::uint32_t> weights, std::size_t firstTie)
+    -> std::vector<std::uint32_t>
+{
+    auto parts = std::vector<std::uint32_t>(weights.size(), 0);
+    const auto sum = std::accumulate(weights.begin(), weights.end(), std::uint64_t { 0 });
+    if (sum == 0)
+        return parts;
+    auto left = total;
+    for (auto i = std::size_t { 0 }; i < weights.size(); ++i) {
+        parts[i] = static_cast<std::uint32_t>(std::uint64_t { total } * weights[i] / sum);
+        left -= parts[i];
+    }
+    auto order = std::vector<std::size_t>(weights.size());
+    std::iota(order.begin(), order.end(), std::size_t { 0 });
+    std::ranges::rotate(order, order.begin() + static_cast<std::ptrdiff_t>(firstTie % weights.size()));
+    std::ranges::stable_sort(
+        order, std::greater {}, [&](std::size_t i) { return std::uint64_t { total } * weights[i] % sum; });
+    for (auto i = std::size_t { 0 }; i < left; ++i)
+        ++parts[order[i]];
+    return parts;
+}
+
+} // namespace
+
+auto divideByWeights(std::uint32_t total, std::span<const std::uint32_t> weights) -> std::vector<std::uint32_t>
+{
+    return divideByWeights(total, weights, 0);
+}
+
+auto bucketId(std::string_view name) -> std::uint64_t { return XXH3_64bits(name.data(), name.size()); }
+
+auto makeBucketSpec(std::string_view name, double rate, double burst, std::span<const std::uint32_t> zoneParts,
+    std::size_t zone) -> BucketSpec
+{
+    auto spec = BucketSpec {};
+    spec.id = bucketId(name);
+    spec.whole = { toMicro(rate), toMicro(burst) };
+    const auto greatestUnits = static_cast<double>(slotsPerZone * std::max<std::size_t>(zoneParts.size(), 1));
+    spec.units = static_cast<std::uint32_t>(std::clamp(std::floor(burst), 1.0, greatestUnits));
+    if (zone < zoneParts.size())
+        spec.zoneUnits = divideByWeights(spec.units, zoneParts, spec.id % zoneParts.size())[zone];
+    return spec;
+}
+
+auto unitsOfSlot(const BucketSpec& spec, std::uint32_t slot) -> std::uint32_t
+{
+    // Unit u stands in slot floor(u * slots / units), turned by the bucket's id.
+    const auto turned = (slot + static_cast<std::uint32_t>(spec.id >> 32U)) % slotsPerZone;
+    const auto before = (std::uint64_t { turned } * spec.zoneUnits + slotsPerZone - 1) / slotsPerZone;
+    const auto after = (std::uint64_t { turned + 1 } * spec.zoneUnits + slotsPerZone - 1) / slotsPerZone;
+    return static_cast<std::uint32_t>(after - before);
+}
+
+auto shareOfSlots(const BucketSpec& spec, std::span<const SlotRange> ranges) -> BucketShare
+{
+    auto units = std::int64_t { 0 };
+    for (const auto& range : ranges) {
+        const auto end = std::uint32_t { range.first } + range.count;
+        for (auto slot = std::uint32_t { range.first }; slot < end; ++slot)
+            units += unitsOfSlot(spec, slot);
+    }
+    // Each unit is rounded down by itself, so the sum over any division of the units never exceeds the whole.
+    return { spec.whole.microTokensPerSecond / spec.units * units, spec.whole.capMicroTokens / spec.units * units };
+}
+
+} // namespace citronloft
