--- a/include/citronloft/fleet/membership.hpp
+++ b/include/citronloft/fleet/membership.hpp
@@ -59,32 +59,32 @@
     /// @brief Sets the source of the age that heartbeats carry for the configuration.
     auto setConfigAge(std::function<Duration()> age) -> void { this->configAge = std::move(age); }
 
-    /// @return live hosts of this zone without this one; suspected ones are left out.
-    [[nodiscard]] auto zonePeers(TimePoint now) const -> std::vector<HostEntry>;
+    /// @return live hosts of this zone without this one, as of the last tick or message; suspected ones are left out.
+    [[nodiscard]] auto zonePeers() const -> const std::vector<HostEntry>& { return this->livePeers; }
 
     /// @return live hosts of other zones, as far as their summaries name them.
-    [[nodiscard]] auto remoteHosts(TimePoint now) const -> std::vector<HostEntry>;
+    [[nodiscard]] auto remoteHosts() const -> const std::vector<HostEntry>& { return this->liveRemote; }
 
     /// @return live hosts of one zone, this host included if it is its zone.
     [[nodiscard]] auto hostsOf(const std::string& zone, TimePoint now) const -> std::vector<HostEntry>;
 
     /// @return whether this host is a delegate of its zone.
-    [[nodiscard]] auto isDelegate(TimePoint now) const -> bool;
+    [[nodiscard]] auto isDelegate() const -> bool;
 
     /// @return the zone's steward with the greatest epoch, if one is known to live.
-    [[nodiscard]] auto steward(TimePoint now) const -> std::optional<HostEntry>;
+    [[nodiscard]] auto steward() const -> std::optional<HostEntry>;
 
     /// @return greatest steward epoch that any host of the zone has named.
     [[nodiscard]] auto greatestEpoch() const -> std::uint32_t { return this->highestEpoch; }
 
     /// @return whether a live zone peer says that the platform answers.
-    [[nodiscard]] auto peerReachesStore(TimePoint now) const -> bool;
+    [[nodiscard]] auto peerReachesStore() const -> bool;
 
     /// @return a live host with a newer configuration than `version`, zone peers first.
-    [[nodiscard]] auto hostWithNewerConfig(std::uint64_t version, TimePoint now) const -> std::optional<HostEntry>;
+    [[nodiscard]] auto hostWithNewerConfig(std::uint64_t version) const -> std::optional<HostEntry>;
 
     /// @return live hosts of this zone, this one included.
-    [[nodiscard]] auto zoneSize(TimePoint now) const -> std::size_t { return this->zonePeers(now).size() + 1; }
+    [[nodiscard]] auto zoneSize() const -> std::size_t { return this->livePeers.size() + 1; }
 
 private:
     struct Member {
@@ -100,11 +100,12 @@
     auto mergeMember(const HostEntry& entry, TimePoint now) -> void;
     auto mergeSummary(const ZoneSummary& summary, TimePoint now) -> void;
     auto forgetSilent(TimePoint now) -> void;
+    auto refreshViews(TimePoint now) -> void;
     auto gossip(TimePoint now) -> void;
     auto gossipBetweenZones(TimePoint now) -> void;
     auto greetSeeds(TimePoint now) -> void;
     auto message(TimePoint now, bool withMembers, bool withOwnZone) -> GossipMessage;
-    auto ownSummary(TimePoint now) -> ZoneSummary;
+    auto ownSummary() -> ZoneSummary;
     [[nodiscard]] auto newestSummary(const std::string& zone, TimePoint now) const -> const Summary*;
     [[nodiscard]] auto isKnown(const Address& address) const -> bool;
 
@@ -116,6 +117,10 @@
     std::map<std::uint64_t, Member> members;
     /// By zone and publisher.
     std::map<std::string, std::map<std::uint64_t, Summary>> summaries;
+    std::vector<HostEntry> livePeers;
+    std::vector<HostEntry> liveRemote;
+    bool isViewStale = true;
+    TimePoint viewedAt {};
     std::uint32_t highestEpoch = 0;
     TimePoint nextGossipAt {};
     TimePoint nextDelegateAt {};
--- a/include/citronloft/fleet/peer_directory.hpp
+++ b/include/citronloft/fleet/peer_directory.hpp
@@ -6,7 +6,6 @@
 #include <vector>
 
 #include "citronloft/base/address.hpp"
-#include "citronloft/base/clock.hpp"
 
 namespace citronloft {
 
@@ -25,7 +24,7 @@
     virtual ~PeerDirectory() = default;
 
     /// @return live hosts, zone peers first.
-    [[nodiscard]] virtual auto lenders(TimePoint now) const -> std::vector<Lender> = 0;
+    [[nodiscard]] virtual auto lenders() const -> std::vector<Lender> = 0;
 };
 
 } // namespace citronloft
--- a/include/citronloft/fleet/rate_limiter.hpp
+++ b/include/citronloft/fleet/rate_limiter.hpp
@@ -120,6 +120,7 @@
         /// Lenders of the present sweep that have not been asked yet.
         std::vector<Lender> unasked;
         bool isSweeping = false;
+        bool hasSweepGrant = false;
         std::size_t openAsks = 0;
         TimePoint nextAskAt {};
         TimePoint emptyUntil {};
--- a/include/citronloft/fleet/zone_steward.hpp
+++ b/include/citronloft/fleet/zone_steward.hpp
@@ -83,8 +83,9 @@
     auto becomeSteward(ZoneShares taken, std::uint64_t version, TimePoint sentAt, TimePoint now) -> void;
     auto stepDown() -> void;
     auto update(TimePoint now) -> void;
-    auto finishUpdate(const absl::StatusOr<std::uint64_t>& result, ZoneShares written, TimePoint sentAt) -> void;
-    auto settleUpdate(ZoneShares written, TimePoint sentAt) -> void;
+    auto finishUpdate(const absl::StatusOr<std::uint64_t>& result, const ZoneShares& written) -> void;
+    auto settleConflict() -> void;
+    auto adopt(const ZoneShares& stored, std::uint64_t storedVersion) -> void;
     [[nodiscard]] auto hasAuthority(TimePoint now) const -> bool;
     [[nodiscard]] auto planSlots(TimePoint now) const -> SlotMap;
     [[nodiscard]] auto liveHolders(TimePoint now) const -> std::vector<std::uint64_t>;
@@ -105,6 +106,9 @@
     bool confirmRequired = false;
     ZoneShares shares;
     std::uint64_t version = absentVersion;
+    std::uint64_t lastRenewal = 0;
+    /// When each update was sent whose effect is not known yet, by its number.
+    std::map<std::uint64_t, TimePoint> sentUpdates;
     /// Slots that their holders gave up and that no update has moved yet.
     SlotMap working;
     std::map<std::uint64_t, Holder> holders;
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -196,11 +196,11 @@
             = { { "queued", admission->queued() }, { "headroom", admission->headroom() }, { "targets", targets } };
     }
     auto peers = nlohmann::json::array();
-    for (const auto& peer : this->fleet->membership().zonePeers(now))
+    for (const auto& peer : this->fleet->membership().zonePeers())
         peers.push_back({ { "address", formatAddress(peer.peerAddress()) }, { "state", hostStateName(peer.state) },
             { "config_version", peer.configVersion }, { "status", formatAddress({ peer.ip, peer.statusPort }) } });
     auto remote = nlohmann::json::array();
-    for (const auto& host : this->fleet->membership().remoteHosts(now))
+    for (const auto& host : this->fleet->membership().remoteHosts())
         remote.push_back({ { "address", formatAddress(host.peerAddress()) }, { "zone", host.zone },
             { "status", formatAddress({ host.ip, host.statusPort }) } });
     auto moved = nlohmann::json::object();
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -422,7 +422,7 @@
         const auto found = std::ranges::find(host.headroom, pool, &PoolHeadroom::pool);
         return found == host.headroom.end() ? 0 : found->freeSlots;
     };
-    auto hosts = this->fleet.membership().remoteHosts(this->clock.now());
+    auto hosts = this->fleet.membership().remoteHosts();
     std::erase_if(hosts, [&](const HostEntry& host) { return host.state != HostState::Serving || roomOf(host) == 0; });
     const auto ownRegion = this->regionOf(call, this->option.zone);
     std::ranges::stable_sort(hosts, [&](const HostEntry& left, const HostEntry& right) {
--- a/src/citronloft/fleet/config_follower.cpp
+++ b/src/citronloft/fleet/config_follower.cpp
@@ -30,11 +30,11 @@
 
 auto ConfigFollower::tick(TimePoint now) -> void
 {
-    if (!this->isWatching && now >= this->nextWatchAt && this->membership.isDelegate(now))
+    if (!this->isWatching && now >= this->nextWatchAt && this->membership.isDelegate())
         this->startWatch(now);
     if (this->isFetching || now < this->nextFetchAt)
         return;
-    if (const auto peer = this->membership.hostWithNewerConfig(this->version(), now))
+    if (const auto peer = this->membership.hostWithNewerConfig(this->version()))
         this->startFetch(*peer, now);
 }
 
--- a/src/citronloft/fleet/config_publisher.cpp
+++ b/src/citronloft/fleet/config_publisher.cpp
@@ -44,7 +44,7 @@
         }
         const auto expected = this->change.expectedVersion.value_or(this->manifest.version);
         if (expected != this->manifest.version)
-            return this->finish(ApplyOutcome::Conflict, this->describeConflict(this->manifest));
+            return this->finish(ApplyOutcome::Conflict, describeConflict(this->manifest));
         loadRecords(this->store, this->manifest,
             [self = this->shared_from_this()](const auto& records) { self->withRecords(records); });
     }
@@ -66,67 +66,87 @@
     {
         if (this->chunkPosition == this->chunks.size())
             return this->putManifest();
-        auto& chunk = this->chunks[this->chunkPosition++];
-        this->store->put(chunk.key, std::move(chunk.value), absentVersion,
+        const auto& chunk = this->chunks[this->chunkPosition];
+        this->store->put(chunk.key, chunk.value, absentVersion,
             [self = this->shared_from_this()](const absl::StatusOr<std::uint64_t>& result) {
                 // A chunk is named for its content: one that is there already is the same chunk.
-                if (result.ok() || absl::IsAborted(result.status()))
-                    self->putNextChunk();
-                else
-                    self->finish(ApplyOutcome::NotAccepted, std::string { result.status().message() });
+                if (result.ok() || absl::IsAborted(result.status())) {
+                    ++self->chunkPosition;
+                    return self->putNextChunk();
+                }
+                if (++self->tryCount >= self->option.settleTries)
+                    return self->finish(ApplyOutcome::NotAccepted, std::string { result.status().message() });
+                self->option.later([self] { self->putNextChunk(); });
             });
     }
 
     auto putManifest() -> void
     {
-        auto next = ConfigManifest {};
-        next.version = this->manifest.version + 1;
-        next.changeIds = this->manifest.changeIds;
-        next.changeIds.push_back(this->change.changeId);
-        if (next.changeIds.size() > rememberedChanges)
-            next.changeIds.erase(next.changeIds.begin());
-        next.operatorName = this->change.operatorName;
-        next.summary = this->change.summary;
-        next.digest = digestOf(this->records);
+        this->next.version = this->manifest.version + 1;
+        this->next.changeIds = this->manifest.changeIds;
+        this->next.changeIds.push_back(this->change.changeId);
+        if (this->next.changeIds.size() > rememberedChanges)
+            this->next.changeIds.erase(this->next.changeIds.begin());
+        this->next.operatorName = this->change.operatorName;
+        this->next.summary = this->change.summary;
+        this->next.digest = digestOf(this->records);
         for (const auto& chunk : this->chunks)
-            next.chunks.push_back(chunk.key);
+            this->next.chunks.push_back(chunk.key);
         if (encode(this->delta).size() <= greatestInlineDeltaBytes && this->manifest.version > 0) {
-            next.deltaFrom = this->manifest.version;
-            next.delta = this->delta;
+            this->next.deltaFrom = this->manifest.version;
+            this->next.delta = this->delta;
         }
-        this->store->put(manifestKey, encode(next), this->objectVersion,
-            [self = this->shared_from_this(), version = next.version](const absl::StatusOr<std::uint64_t>& result) {
-                if (!result.ok())
+        this->tryCount = 0;
+        this->tryUpdate();
+    }
+
+    /// The update is conditional on the version read, so trying it again after a lost reply is safe: it takes effect
+    /// once at most, and a conflict proves that the object has changed.
+    auto tryUpdate() -> void
+    {
+        this->store->put(manifestKey, encode(this->next), this->objectVersion,
+            [self = this->shared_from_this()](const absl::StatusOr<std::uint64_t>& result) {
+                if (result.ok())
+                    return self->accept();
+                if (absl::IsAborted(result.status()))
                     return self->settle();
-                self->manifest.version = version;
-                self->finish(ApplyOutcome::Accepted, "");
+                self->tryLater([self] { self->tryUpdate(); });
             });
     }
 
-    /// Asks the store which change stands there now; the change id tells whether it is this one.
+    auto tryLater(std::function<void()> action) -> void
+    {
+        if (++this->tryCount >= this->option.settleTries)
+            return this->finish(ApplyOutcome::Unknown, "the update was sent and the store can't be asked");
+        this->option.later(std::move(action));
+    }
+
+    /// After a conflict the stored manifest tells whether this change came through with a lost reply.
     auto settle() -> void
     {
         this->store->get(manifestKey, [self = this->shared_from_this()](const auto& result) {
-            if (result.ok() || absl::IsNotFound(result.status()))
-                return self->settleWith(result);
-            if (++self->settleCount >= self->option.settleTries)
-                return self->finish(ApplyOutcome::Unknown, "the update was sent and the store can't be asked");
-            self->option.later([self] { self->settle(); });
+            // A read may be stale; the conflict proved that there is a newer object than the one read first.
+            if (!result.ok() || result->version <= self->objectVersion)
+                return self->tryLater([self] { self->settle(); });
+            const auto stored = decode<ConfigManifest>(result->value);
+            if (!stored.ok())
+                return self->finish(ApplyOutcome::Unknown, "the stored manifest is malformed");
+            const auto& ids = stored->changeIds;
+            if (std::ranges::find(ids, self->change.changeId) != ids.end())
+                return self->accept();
+            const auto reason = describeConflict(*stored);
+            self->manifest = *stored;
+            self->finish(ApplyOutcome::Conflict, reason);
         });
     }
 
-    auto settleWith(const absl::StatusOr<StoredObject>& result) -> void
+    auto accept() -> void
     {
-        const auto stored = result.ok() ? decode<ConfigManifest>(result->value) : result.status();
-        if (!stored.ok() || stored->version <= this->manifest.version)
-            return this->finish(ApplyOutcome::NotAccepted, "the store did not take the update");
-        const auto isOwn = std::ranges::find(stored->changeIds, this->change.changeId) != stored->changeIds.end();
-        const auto reason = isOwn ? std::string {} : this->describeConflict(*stored);
-        this->manifest = *stored;
-        this->finish(isOwn ? ApplyOutcome::Accepted : ApplyOutcome::Conflict, reason);
+        this->manifest.version = this->next.version;
+        this->finish(ApplyOutcome::Accepted, "");
     }
 
-    [[nodiscard]] auto describeConflict(const ConfigManifest& other) const -> std::string
+    [[nodiscard]] static auto describeConflict(const ConfigManifest& other) -> std::string
     {
         return "version " + std::to_string(other.version) + " by " + other.operatorName + " (" + other.summary
             + ") came first";
@@ -138,11 +158,12 @@
     ApplyDone done;
     ConfigRecords records;
     ConfigManifest manifest;
+    ConfigManifest next;
     std::uint64_t objectVersion = absentVersion;
     std::vector<RecordChange> delta;
     std::vector<ConfigChunk> chunks;
     std::size_t chunkPosition = 0;
-    unsigned settleCount = 0;
+    unsigned tryCount = 0;
 };
 
 } // namespace
--- a/src/citronloft/fleet/fleet_host.cpp
+++ b/src/citronloft/fleet/fleet_host.cpp
@@ -23,12 +23,12 @@
     {
     }
 
-    [[nodiscard]] auto lenders(TimePoint now) const -> std::vector<Lender> override
+    [[nodiscard]] auto lenders() const -> std::vector<Lender> override
     {
         auto list = std::vector<Lender> {};
-        for (const auto& peer : this->members.zonePeers(now))
+        for (const auto& peer : this->members.zonePeers())
             list.push_back({ peer.incarnation, peer.peerAddress(), true });
-        for (const auto& host : this->members.remoteHosts(now))
+        for (const auto& host : this->members.remoteHosts())
             list.push_back({ host.incarnation, host.peerAddress(), false });
         return list;
     }
@@ -102,7 +102,7 @@
 auto FleetHost::hasHandedOver() const -> bool
 {
     const auto now = this->surroundings.clock.now();
-    const auto isAlone = !this->members.steward(now).has_value();
+    const auto isAlone = !this->members.steward().has_value();
     return (this->holder.isEmpty(now) || isAlone) && this->zoneSteward->heldEpoch() == 0;
 }
 
--- a/src/citronloft/fleet/membership.cpp
+++ b/src/citronloft/fleet/membership.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Greatest age of the lists of live hosts.
+constexpr auto viewInterval = std::chrono::milliseconds { 100 };
+
 auto isLive(const HostEntry& entry) -> bool { return entry.state != HostState::Stopped; }
 
 template <typename Item> auto shuffle(std::vector<Item>& items, pcg32& random) -> void
@@ -26,15 +29,16 @@
 
 auto Membership::tick(TimePoint now) -> void
 {
-    this->forgetSilent(now);
+    this->refreshViews(now);
     if (now >= this->nextGossipAt) {
         this->nextGossipAt = now + this->option.gossipInterval;
         ++this->own.counter;
+        this->forgetSilent(now);
         this->gossip(now);
     }
     if (now >= this->nextDelegateAt) {
         this->nextDelegateAt = now + this->option.delegateInterval;
-        if (this->isDelegate(now))
+        if (this->isDelegate())
             this->gossipBetweenZones(now);
     }
 }
@@ -48,34 +52,32 @@
     }
     for (const auto& summary : message.zones)
         this->mergeSummary(summary, now);
+    this->refreshViews(now);
 }
 
-auto Membership::zonePeers(TimePoint now) const -> std::vector<HostEntry>
+/// Rebuilds the lists of live hosts when something was heard, and often enough to notice silence.
+auto Membership::refreshViews(TimePoint now) -> void
 {
-    auto peers = std::vector<HostEntry> {};
+    if (!this->isViewStale && now - this->viewedAt < viewInterval)
+        return;
+    this->isViewStale = false;
+    this->viewedAt = now;
+    this->livePeers.clear();
     for (const auto& [incarnation, member] : this->members) {
         if (isLive(member.entry) && now - member.heardAt < this->option.suspectAfter)
-            peers.push_back(member.entry);
+            this->livePeers.push_back(member.entry);
     }
-    return peers;
-}
-
-auto Membership::remoteHosts(TimePoint now) const -> std::vector<HostEntry>
-{
-    auto hosts = std::vector<HostEntry> {};
+    this->liveRemote.clear();
     for (const auto& [zone, publishers] : this->summaries) {
-        const auto* newest = this->newestSummary(zone, now);
-        if (newest == nullptr)
-            continue;
-        std::ranges::copy_if(newest->summary.hosts, std::back_inserter(hosts), isLive);
+        if (const auto* newest = this->newestSummary(zone, now))
+            std::ranges::copy_if(newest->summary.hosts, std::back_inserter(this->liveRemote), isLive);
     }
-    return hosts;
 }
 
 auto Membership::hostsOf(const std::string& zone, TimePoint now) const -> std::vector<HostEntry>
 {
     if (zone == this->own.zone) {
-        auto hosts = this->zonePeers(now);
+        auto hosts = this->livePeers;
         hosts.push_back(this->own);
         return hosts;
     }
@@ -85,39 +87,36 @@
     return hosts;
 }
 
-auto Membership::isDelegate(TimePoint now) const -> bool
+auto Membership::isDelegate() const -> bool
 {
-    const auto peers = this->zonePeers(now);
-    const auto lower
-        = std::ranges::count_if(peers, [&](const HostEntry& peer) { return peer.incarnation < this->own.incarnation; });
+    const auto lower = std::ranges::count_if(
+        this->livePeers, [&](const HostEntry& peer) { return peer.incarnation < this->own.incarnation; });
     return static_cast<std::size_t>(lower) < this->option.delegates;
 }
 
-auto Membership::steward(TimePoint now) const -> std::optional<HostEntry>
+auto Membership::steward() const -> std::optional<HostEntry>
 {
-    auto hosts = this->hostsOf(this->own.zone, now);
-    const auto greatest = std::ranges::max_element(hosts, {}, &HostEntry::stewardEpoch);
-    if (greatest == hosts.end() || greatest->stewardEpoch == 0)
-        return std::nullopt;
-    return *greatest;
+    const auto* greatest = &this->own;
+    for (const auto& peer : this->livePeers) {
+        if (peer.stewardEpoch > greatest->stewardEpoch)
+            greatest = &peer;
+    }
+    return greatest->stewardEpoch == 0 ? std::nullopt : std::optional { *greatest };
 }
 
-auto Membership::peerReachesStore(TimePoint now) const -> bool
+auto Membership::peerReachesStore() const -> bool
 {
-    const auto peers = this->zonePeers(now);
-    return std::ranges::any_of(peers, &HostEntry::storeReachable);
+    return std::ranges::any_of(this->livePeers, &HostEntry::storeReachable);
 }
 
-auto Membership::hostWithNewerConfig(std::uint64_t version, TimePoint now) const -> std::optional<HostEntry>
+auto Membership::hostWithNewerConfig(std::uint64_t version) const -> std::optional<HostEntry>
 {
-    auto candidates = this->zonePeers(now);
-    const auto isNewer = [&](const HostEntry& host) { return host.configVersion > version; };
-    if (!std::ranges::any_of(candidates, isNewer))
-        candidates = this->remoteHosts(now);
-    const auto newest = std::ranges::max_element(candidates, {}, &HostEntry::configVersion);
-    if (newest == candidates.end() || !isNewer(*newest))
-        return std::nullopt;
-    return *newest;
+    for (const auto* candidates : { &this->livePeers, &this->liveRemote }) {
+        const auto newest = std::ranges::max_element(*candidates, {}, &HostEntry::configVersion);
+        if (newest != candidates->end() && newest->configVersion > version)
+            return *newest;
+    }
+    return std::nullopt;
 }
 
 auto Membership::mergeMember(const HostEntry& entry, TimePoint now) -> void
@@ -126,9 +125,11 @@
         return;
     this->highestEpoch = std::max({ this->highestEpoch, entry.stewardEpoch, entry.knownEpoch });
     auto [place, isNew] = this->members.try_emplace(entry.incarnation, Member { entry, now });
+    this->isViewStale |= isNew;
     if (isNew || entry.counter <= place->second.entry.counter)
         return;
     place->second = { entry, now };
+    this->isViewStale = true;
 }
 
 auto Membership::mergeSummary(const ZoneSummary& summary, TimePoint now) -> void
@@ -136,9 +137,11 @@
     if (summary.zone == this->own.zone)
         return;
     auto [place, isNew] = this->summaries[summary.zone].try_emplace(summary.publisher, Summary { summary, now });
+    this->isViewStale |= isNew;
     if (isNew || summary.counter <= place->second.summary.counter)
         return;
     place->second = { summary, now };
+    this->isViewStale = true;
 }
 
 auto Membership::forgetSilent(TimePoint now) -> void
@@ -154,7 +157,7 @@
 
 auto Membership::gossip(TimePoint now) -> void
 {
-    auto peers = this->zonePeers(now);
+    auto peers = this->livePeers;
     shuffle(peers, this->random);
     const auto outgoing = this->message(now, true, false);
     for (auto i = std::size_t { 0 }; i < std::min(this->option.gossipFanout, peers.size()); ++i)
@@ -164,7 +167,7 @@
 
 auto Membership::gossipBetweenZones(TimePoint now) -> void
 {
-    auto hosts = this->remoteHosts(now);
+    auto hosts = this->liveRemote;
     shuffle(hosts, this->random);
     const auto outgoing = this->message(now, false, true);
     for (auto i = std::size_t { 0 }; i < std::min(this->option.gossipFanout, hosts.size()); ++i)
@@ -193,12 +196,12 @@
     outgoing.configAgeMs = static_cast<std::uint32_t>(std::min<std::int64_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(this->configAge()).count(), UINT32_MAX));
     if (withMembers) {
-        outgoing.members = this->zonePeers(now);
+        outgoing.members = this->livePeers;
         shuffle(outgoing.members, this->random);
         outgoing.members.resize(std::min(outgoing.members.size(), this->option.membersPerMessage));
     }
     if (withOwnZone)
-        outgoing.zones.push_back(this->ownSummary(now));
+        outgoing.zones.push_back(this->ownSummary());
     auto others = std::vector<const Summary*> {};
     for (const auto& [zone, publishers] : this->summaries) {
         if (const auto* newest = this->newestSummary(zone, now))
@@ -211,10 +214,11 @@
     return outgoing;
 }
 
-auto Membership::ownSummary(TimePoint now) -> ZoneSummary
+auto Membership::ownSummary() -> ZoneSummary
 {
     auto summary = ZoneSummary { this->own.zone, this->own.incarnation, this->own.counter, {} };
-    summary.hosts = this->hostsOf(this->own.zone, now);
+    summary.hosts = this->livePeers;
+    summary.hosts.push_back(this->own);
     shuffle(summary.hosts, this->random);
     summary.hosts.resize(std::min(summary.hosts.size(), this->option.hostsPerSummary));
     return summary;
--- a/src/citronloft/fleet/rate_limiter.cpp
+++ b/src/citronloft/fleet/rate_limiter.cpp
@@ -161,6 +161,7 @@
         if (bucket == nullptr || !wasAsked || entry.amount <= 0)
             continue;
         bucket->escrow.borrow(entry.amount, grant.lender, grant.sequence, ask.expiresAt);
+        bucket->hasSweepGrant = true;
         bucket->emptyUntil = TimePoint {};
         this->serveWaiting(*bucket, now);
     }
@@ -213,12 +214,14 @@
         return;
     }
     if (!bucket.isSweeping) {
-        if (now < bucket.nextAskAt || now < bucket.emptyUntil)
+        const auto isTooSoon = now < bucket.nextAskAt && bucket.waiting.empty();
+        if (isTooSoon || now < bucket.emptyUntil)
             return;
-        bucket.unasked = this->peers.lenders(now);
+        bucket.unasked = this->peers.lenders();
         if (this->option.strategy == LendingStrategy::Zone)
             std::erase_if(bucket.unasked, [](const Lender& lender) { return !lender.isSameZone; });
         bucket.isSweeping = true;
+        bucket.hasSweepGrant = false;
         bucket.nextAskAt = now + this->option.askInterval;
     }
     if (bucket.openAsks > 0)
@@ -238,7 +241,7 @@
 {
     if (this->outgoing.empty())
         return;
-    const auto known = this->peers.lenders(now);
+    const auto known = this->peers.lenders();
     for (auto& [lender, ask] : std::exchange(this->outgoing, {})) {
         ask.borrower = this->incarnation;
         ask.sequence = this->nextSequence++;
@@ -299,19 +302,21 @@
 auto RateLimiter::endHopelessWaits(Bucket& bucket, TimePoint now) -> void
 {
     const auto isSwept = bucket.isSweeping && bucket.unasked.empty() && bucket.openAsks == 0;
-    if (isSwept) {
+    // A sweep that brought some tokens is followed by another, since requests came after its asks.
+    const auto isHopeless = isSwept && !bucket.hasSweepGrant;
+    if (isSwept)
         bucket.isSweeping = false;
-        bucket.emptyUntil = now + this->option.emptyInterval;
-    }
     auto ended = std::deque<Waiting> {};
-    if (isSwept)
+    if (isHopeless) {
+        bucket.emptyUntil = now + this->option.emptyInterval;
         std::swap(ended, bucket.waiting);
+    }
     while (!bucket.waiting.empty() && now >= bucket.waiting.front().deadline) {
         ended.push_back(std::move(bucket.waiting.front()));
         bucket.waiting.pop_front();
     }
     for (const auto& waiting : ended)
-        this->refuse(bucket, waiting.done, waiting.amount, !isSwept, now);
+        this->refuse(bucket, waiting.done, waiting.amount, !isHopeless, now);
 }
 
 auto RateLimiter::refuse(Bucket& bucket, const Done& done, std::int64_t amount, bool late, TimePoint now) -> void
--- a/src/citronloft/fleet/share_holder.cpp
+++ b/src/citronloft/fleet/share_holder.cpp
@@ -37,9 +37,9 @@
 {
     this->noticePause(now);
     std::erase_if(this->releasing, [&](const Releasing& item) { return now >= item.until; });
-    if (!this->membership.zonePeers(now).empty())
+    if (!this->membership.zonePeers().empty())
         this->lastHeardAt = now;
-    const auto steward = this->membership.steward(now);
+    const auto steward = this->membership.steward();
     if (!steward)
         return;
     const auto isNewSteward = steward->stewardEpoch > this->epoch;
@@ -78,7 +78,7 @@
 
 auto ShareHolder::mayContinue(TimePoint now) const -> bool
 {
-    if (this->membership.greatestEpoch() > this->epoch || this->membership.steward(now))
+    if (this->membership.greatestEpoch() > this->epoch || this->membership.steward())
         return false;
     const auto knowsPeers = this->lastHeardAt != TimePoint {};
     return !knowsPeers || now - this->lastHeardAt < this->terms.margin / 2;
--- a/src/citronloft/fleet/zone_steward.cpp
+++ b/src/citronloft/fleet/zone_steward.cpp
@@ -14,11 +14,6 @@
 /// Time for the zone's hosts to report before a new zone is first divided.
 constexpr auto gatherTime = std::chrono::milliseconds { 1500 };
 
-auto isStoreFailure(const absl::Status& status) -> bool
-{
-    return absl::IsUnavailable(status) || absl::IsDeadlineExceeded(status);
-}
-
 } // namespace
 
 auto zoneSharesKey(const std::string& zone) -> std::string { return "zones/" + zone + "/shares"; }
@@ -44,7 +39,7 @@
     if (this->callPending)
         return;
     if (!this->isSteward) {
-        const auto mayPoll = !this->leaving && this->membership.isDelegate(now);
+        const auto mayPoll = !this->leaving && this->membership.isDelegate();
         if (mayPoll && now >= this->nextCallAt)
             this->poll(now);
         return;
@@ -170,6 +165,8 @@
     this->version = newVersion;
     this->isSteward = true;
     this->confirmRequired = false;
+    this->lastRenewal = this->shares.renewals;
+    this->sentUpdates.clear();
     this->authorityUntil = sentAt + this->terms.stewardLease;
     this->wasListening = false;
     this->working = SlotMap(this->shares.ranges);
@@ -192,7 +189,8 @@
 auto ZoneSteward::update(TimePoint now) -> void
 {
     auto written = this->shares;
-    ++written.renewals;
+    written.renewals = ++this->lastRenewal;
+    this->sentUpdates[written.renewals] = now;
     // Without authority the lease is confirmed first; slots move with a later update.
     if (this->hasAuthority(now))
         written.ranges = this->reserveMoves(this->planSlots(now)).ranges();
@@ -202,8 +200,7 @@
     this->updatedAt = now;
     this->callPending = true;
     this->store->put(zoneSharesKey(this->zone), encode(written), this->version,
-        [self = this->shared_from_this(), written, now](
-            const auto& result) { self->finishUpdate(result, written, now); });
+        [self = this->shared_from_this(), written](const auto& result) { self->finishUpdate(result, written); });
 }
 
 /// Takes the slots that are about to move out of the working map, so that a late renewal can't get them back.
@@ -216,57 +213,64 @@
     return plan;
 }
 
-auto ZoneSteward::finishUpdate(const absl::StatusOr<std::uint64_t>& result, ZoneShares written, TimePoint sentAt)
-    -> void
+auto ZoneSteward::finishUpdate(const absl::StatusOr<std::uint64_t>& result, const ZoneShares& written) -> void
 {
     this->callPending = false;
     if (!this->isSteward)
         return;
     if (result.ok()) {
         this->answeredAt = this->clock.now();
-        this->version = *result;
-        this->shares = std::move(written);
-        this->working = SlotMap(this->shares.ranges);
-        this->authorityUntil = sentAt + this->terms.stewardLease;
-        this->confirmRequired = false;
+        this->adopt(written, *result);
         if (this->shares.steward == 0)
             this->stepDown();
         return;
     }
-    this->settleUpdate(std::move(written), sentAt);
+    // After a lost reply the next update decides: it is conditional on the same version. Until then the slots that this
+    // one was to move belong to nobody.
+    if (absl::IsAborted(result.status()))
+        this->settleConflict();
 }
 
-/// After a lost reply, or a conflict that the lost reply of an earlier update explains, the stored object decides.
-auto ZoneSteward::settleUpdate(ZoneShares written, TimePoint sentAt) -> void
+/// A conflict comes from an earlier update of this steward whose reply was lost, or from another steward.
+auto ZoneSteward::settleConflict() -> void
 {
     this->callPending = true;
-    this->store->get(zoneSharesKey(this->zone), [self = this->shared_from_this(), written, sentAt](const auto& result) {
+    this->store->get(zoneSharesKey(this->zone), [self = this->shared_from_this()](const auto& result) {
         self->callPending = false;
-        if (!self->isSteward || (!result.ok() && isStoreFailure(result.status())))
+        // A read may be stale; the conflict proved that the object is newer than the known version.
+        if (!self->isSteward || !result.ok() || result->version <= self->version)
             return;
         self->answeredAt = self->clock.now();
-        const auto stored = result.ok() ? decode<ZoneShares>(result->value) : result.status();
+        const auto stored = decode<ZoneShares>(result->value);
         const auto isOwn = stored.ok() && stored->steward == self->incarnation && stored->epoch == self->shares.epoch;
         if (!isOwn) {
             self->stepDown();
             return;
         }
-        self->version = result->version;
-        self->shares = *stored;
-        self->working = SlotMap(stored->ranges);
-        if (stored->renewals == written.renewals) {
-            self->authorityUntil = sentAt + self->terms.stewardLease;
-            self->confirmRequired = false;
-        }
+        self->adopt(*stored, result->version);
     });
 }
 
+/// Takes a stored update of this steward as the present state; its authority counts from when it was sent.
+auto ZoneSteward::adopt(const ZoneShares& stored, std::uint64_t storedVersion) -> void
+{
+    this->version = storedVersion;
+    this->shares = stored;
+    this->working = SlotMap(stored.ranges);
+    const auto sent = this->sentUpdates.find(stored.renewals);
+    if (sent == this->sentUpdates.end())
+        return;
+    this->authorityUntil = std::max(this->authorityUntil, sent->second + this->terms.stewardLease);
+    this->confirmRequired = this->clock.now() >= this->authorityUntil;
+    this->sentUpdates.erase(this->sentUpdates.begin(), std::next(sent));
+}
+
 auto ZoneSteward::hasAuthority(TimePoint now) const -> bool
 {
     if (now < this->authorityUntil)
         return true;
     const auto isPaused = now - this->lastTickAt > this->terms.pauseLimit;
-    return !this->confirmRequired && !isPaused && !this->membership.peerReachesStore(now)
+    return !this->confirmRequired && !isPaused && !this->membership.peerReachesStore()
         && this->membership.greatestEpoch() <= this->shares.epoch;
 }
 
--- /dev/null
+++ b/src/citronloft/policy/fair_queue_test.cpp
@@ -0,0 +1,93 @@
+#include <gtest/gtest.h>
+
+#include "citronloft/policy/fair_queue.hpp"
+
+namespace citronloft {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto start = TimePoint { 1h };
+
+auto request(std::uint64_t id, std::size_t team, std::uint32_t weight = 1, Duration deadline = 10s) -> QueuedRequest
+{
+    return { id, team, weight, start + deadline };
+}
+
+TEST(FairQueue, BusyTeamDelaysOnlyItself)
+{
+    auto queue = makeFairQueue();
+    for (auto id = 0U; id < 100; ++id)
+        EXPECT_EQ(queue->offer(request(id, 1), 1ms, 1, start), Admission::Queued);
+    queue->offer(request(1000, 2), 1ms, 1, start);
+    queue->next();
+    EXPECT_EQ(queue->next()->id, 1000U);
+}
+
+TEST(FairQueue, FifoMakesTheQuietTeamWait)
+{
+    auto queue = makeFifoQueue();
+    for (auto id = 0U; id < 100; ++id)
+        queue->offer(request(id, 1), 1ms, 1, start);
+    queue->offer(request(1000, 2), 1ms, 1, start);
+    for (auto i = 0; i < 100; ++i)
+        EXPECT_NE(queue->next()->id, 1000U);
+    EXPECT_EQ(queue->next()->id, 1000U);
+}
+
+TEST(FairQueue, WeightsDivideTheTurns)
+{
+    auto queue = makeFairQueue();
+    for (auto id = 0U; id < 60; ++id) {
+        queue->offer(request(id, 1, 1), 1ms, 1, start);
+        queue->offer(request(100 + id, 2, 3), 1ms, 1, start);
+    }
+    auto heavy = 0;
+    for (auto i = 0; i < 40; ++i)
+        heavy += queue->next()->team == 2 ? 1 : 0;
+    EXPECT_EQ(heavy, 30);
+}
+
+TEST(FairQueue, FullQueueStillTakesTheQuietTeam)
+{
+    auto queue = makeFairQueue({ .capacity = 10, .limitPerTeam = true });
+    for (auto id = 0U; id < 10; ++id)
+        queue->offer(request(id, 1), 1ms, 1, start);
+    EXPECT_EQ(queue->offer(request(10, 1), 1ms, 1, start), Admission::QueueFull);
+    EXPECT_EQ(queue->offer(request(11, 2), 1ms, 1, start), Admission::Queued);
+}
+
+TEST(FairQueue, RefusesEarlyWhatCannotBeAnsweredInTime)
+{
+    auto queue = makeFairQueue();
+    for (auto id = 0U; id < 50; ++id)
+        queue->offer(request(id, 1), 10ms, 1, start);
+    EXPECT_EQ(queue->offer(request(50, 1, 1, 300ms), 10ms, 1, start), Admission::DeadlineTooShort);
+    EXPECT_EQ(queue->offer(request(51, 2, 1, 300ms), 10ms, 1, start), Admission::Queued);
+}
+
+TEST(FairQueue, RemovesLateRequests)
+{
+    for (auto& queue : { makeFairQueue(), makeFifoQueue() }) {
+        queue->offer(request(1, 1, 1, 100ms), 10ms, 1, start);
+        queue->offer(request(2, 1, 1, 10s), 10ms, 1, start);
+        const auto late = queue->removeLate(10ms, start + 95ms);
+        ASSERT_EQ(late.size(), 1U);
+        EXPECT_EQ(late[0].id, 1U);
+        EXPECT_EQ(queue->next()->id, 2U);
+        EXPECT_FALSE(queue->next());
+    }
+}
+
+TEST(FairQueue, RemovedRequestIsNeverSent)
+{
+    auto queue = makeFairQueue();
+    queue->offer(request(1, 1), 1ms, 1, start);
+    queue->offer(request(2, 1), 1ms, 1, start);
+    queue->remove(1);
+    EXPECT_EQ(queue->size(), 1U);
+    EXPECT_EQ(queue->next()->id, 2U);
+}
+
+} // namespace
+} // namespace citronloft
--- /dev/null
+++ b/src/citronloft/policy/rules_test.cpp
@@ -0,0 +1,125 @@
+#include <gtest/gtest.h>
+
+#include "citronloft/policy/circuit.hpp"
+#include "citronloft/policy/host_lifecycle.hpp"
+#include "citronloft/policy/key_table.hpp"
+#include "citronloft/policy/retry.hpp"
+#include "citronloft/policy/route_table.hpp"
+#include "citronloft/policy/target_health.hpp"
+
+namespace citronloft {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto start = TimePoint { 1h };
+
+TEST(Retry, NonIdempotentOnlyAfterProvedNotRun)
+{
+    auto budget = RetryBudget {};
+    EXPECT_FALSE(budget.tryRetry({ Outcome::Unknown, false, 1, start + 1s }, start));
+    EXPECT_FALSE(budget.tryRetry({ Outcome::Ran, false, 1, start + 1s }, start));
+    EXPECT_TRUE(budget.tryRetry({ Outcome::NotRun, false, 1, start + 1s }, start));
+    EXPECT_TRUE(budget.tryRetry({ Outcome::Unknown, true, 1, start + 1s }, start));
+}
+
+TEST(Retry, StopsAtDeadlineAttemptsAndBudget)
+{
+    auto budget = RetryBudget({ .attempts = 3, .budgetRatio = 0.1, .budgetCap = 2 });
+    EXPECT_FALSE(budget.tryRetry({ Outcome::NotRun, true, 1, start }, start));
+    EXPECT_FALSE(budget.tryRetry({ Outcome::NotRun, true, 3, start + 1s }, start));
+    EXPECT_TRUE(budget.tryRetry({ Outcome::NotRun, true, 1, start + 1s }, start));
+    EXPECT_TRUE(budget.tryRetry({ Outcome::NotRun, true, 1, start + 1s }, start));
+    EXPECT_FALSE(budget.tryRetry({ Outcome::NotRun, true, 1, start + 1s }, start));
+    for (auto i = 0; i < 11; ++i)
+        budget.recordFirstAttempt();
+    EXPECT_TRUE(budget.tryRetry({ Outcome::NotRun, true, 1, start + 1s }, start));
+}
+
+TEST(Circuit, OpensAfterFailuresAndTriesAgainWithBackoff)
+{
+    auto circuit = Circuit({}, 1);
+    for (auto i = 0; i < 3; ++i) {
+        EXPECT_TRUE(circuit.allow(start));
+        circuit.record(false, start);
+    }
+    EXPECT_FALSE(circuit.allow(start));
+    EXPECT_TRUE(circuit.allow(start + 1s));
+    EXPECT_FALSE(circuit.allow(start + 1s));
+    circuit.record(true, start + 1s);
+    EXPECT_TRUE(circuit.allow(start + 1s));
+}
+
+TEST(RouteTable, LongestPrefixAtSegmentBoundaryAndMethod)
+{
+    auto config = Config {};
+    config.routes.resize(3);
+    config.routes[0].name = "all";
+    config.routes[0].prefix = "/";
+    config.routes[1].name = "plans";
+    config.routes[1].prefix = "/plans";
+    config.routes[2].name = "pay";
+    config.routes[2].prefix = "/plans/pay";
+    config.routes[2].methods = { "POST" };
+    const auto routes = RouteTable(config);
+    EXPECT_EQ(routes.find("GET", "/plans/1?x=1")->name, "plans");
+    EXPECT_EQ(routes.find("GET", "/plansx")->name, "all");
+    EXPECT_EQ(routes.find("POST", "/plans/pay")->name, "pay");
+    EXPECT_EQ(routes.find("GET", "/plans/pay")->name, "plans");
+}
+
+TEST(RouteTable, RejectsPathsThatTargetsMayReadDifferently)
+{
+    for (const auto* path : { "/open/../payments", "/a//b", "/a/%2e%2e/b", "/a%2Fb", "a", "/a/.", "/a\\b", "/x/.." })
+        EXPECT_TRUE(isAmbiguousPath(path)) << path;
+    for (const auto* path : { "/", "/a/b", "/a.b/c", "/a?x=/../" })
+        EXPECT_FALSE(isAmbiguousPath(path)) << path;
+}
+
+TEST(KeyTable, FindsTeamsByKeyAndForgetsWithdrawnOnes)
+{
+    auto config = Config {};
+    config.teams = { { "a", 1, 1, 1, { sha256("key-a") } }, { "b", 1, 1, 1, { sha256("key-b"), sha256("key-b2") } } };
+    EXPECT_EQ(KeyTable(config).find("key-b2"), 1U);
+    EXPECT_FALSE(KeyTable(config).find("key-c"));
+    EXPECT_FALSE(KeyTable(config).find(""));
+    config.teams[1].keys.pop_back();
+    EXPECT_FALSE(KeyTable(config).find("key-b2"));
+}
+
+TEST(HostLifecycle, GoesOneWay)
+{
+    auto lifecycle = makeHostLifecycle();
+    EXPECT_EQ(lifecycle->state(), HostState::Joining);
+    lifecycle->process(HostEvent::Drained);
+    EXPECT_EQ(lifecycle->state(), HostState::Joining);
+    lifecycle->process(HostEvent::ConfigInForce);
+    EXPECT_EQ(lifecycle->state(), HostState::Serving);
+    lifecycle->process(HostEvent::StopRequested);
+    lifecycle->process(HostEvent::ConfigInForce);
+    EXPECT_EQ(lifecycle->state(), HostState::Leaving);
+    lifecycle->process(HostEvent::Drained);
+    EXPECT_EQ(lifecycle->state(), HostState::Stopped);
+    EXPECT_EQ(hostStateName(lifecycle->state()), "stopped");
+}
+
+TEST(TargetHealth, StatesMatchTheTransitionTable)
+{
+    auto health = makeTargetHealth();
+    EXPECT_EQ(health->state(), TargetState::Probing);
+    health->process(TargetEvent::Answered);
+    EXPECT_EQ(health->state(), TargetState::Ramping);
+    health->process(TargetEvent::RampDone);
+    EXPECT_EQ(health->state(), TargetState::Healthy);
+    health->process(TargetEvent::Failed);
+    EXPECT_EQ(health->state(), TargetState::Ejected);
+    health->process(TargetEvent::ProbeOk);
+    EXPECT_EQ(health->state(), TargetState::Ramping);
+    health->process(TargetEvent::DrainStart);
+    EXPECT_EQ(health->state(), TargetState::Draining);
+    health->process(TargetEvent::DrainEnd);
+    EXPECT_EQ(health->state(), TargetState::Probing);
+}
+
+} // namespace
+} // namespace citronloft
--- a/src/citronloft/policy/shares.cpp
+++ b/src/citronloft/policy/shares.cpp
@@ -30,7 +30,7 @@
     }
     auto order = std::vector<std::size_t>(weights.size());
     std::iota(order.begin(), order.end(), std::size_t { 0 });
-    std::ranges::rotate(order, order.begin() + static_cast<std::ptrdiff_t>(firstTie % weights.size()));
+    std::rotate(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(firstTie % weights.size()), order.end());
     std::ranges::stable_sort(
         order, std::greater {}, [&](std::size_t i) { return std::uint64_t { total } * weights[i] % sum; });
     for (auto i = std::size_t { 0 }; i < left; ++i)
--- /dev/null
+++ b/src/citronloft/policy/target_pool_test.cpp
@@ -0,0 +1,117 @@
+#include <gtest/gtest.h>
+
+#include "citronloft/policy/target_pool.hpp"
+
+namespace citronloft {
+namespace {
+
+using namespace std::chrono_literals;
+
+class TargetPoolTest : public testing::Test {
+protected:
+    auto setTargets(std::size_t count, std::size_t draining = 99) -> void
+    {
+        auto targets = std::vector<Target> {};
+        for (auto i = std::size_t { 0 }; i < count; ++i)
+            targets.push_back({ "t" + std::to_string(i), "z", 10, 100, i == draining });
+        this->pool.setTargets(targets, this->now);
+    }
+
+    /// Runs requests that the callback judges, and counts them by target.
+    auto run(int count, const std::function<TargetResult(const std::string&)>& judge) -> std::map<std::string, int>
+    {
+        auto runs = std::map<std::string, int> {};
+        for (auto i = 0; i < count; ++i) {
+            this->now += 10ms;
+            const auto target = this->pool.acquire({}, this->now);
+            if (!target)
+                continue;
+            ++runs[*target];
+            this->pool.release(*target, judge(*target), 5ms, this->now);
+        }
+        return runs;
+    }
+
+    auto stateOf(const std::string& address) -> TargetState
+    {
+        for (const auto& view : this->pool.views(this->now)) {
+            if (view.address == address)
+                return view.state;
+        }
+        return TargetState::Draining;
+    }
+
+    TimePoint now { 1h };
+    TargetPool pool { {}, 42 };
+};
+
+TEST_F(TargetPoolTest, DrainingTargetTakesNothing)
+{
+    this->setTargets(3, 1);
+    const auto runs = this->run(300, [](const auto&) { return TargetResult::Answered; });
+    EXPECT_FALSE(runs.contains("t1"));
+    EXPECT_EQ(runs.size(), 2U);
+}
+
+TEST_F(TargetPoolTest, TargetsOwnDrainReportCounts)
+{
+    this->setTargets(2);
+    this->pool.report("t0", { 0, true }, this->now);
+    EXPECT_EQ(this->run(50, [](const auto&) { return TargetResult::Answered; }).size(), 1U);
+    this->pool.report("t0", { 0, false }, this->now);
+    EXPECT_EQ(this->run(50, [](const auto&) { return TargetResult::Answered; }).size(), 2U);
+}
+
+TEST_F(TargetPoolTest, DeadTargetThatReportsHealthIsEjected)
+{
+    this->setTargets(4);
+    const auto judge
+        = [](const auto& target) { return target == "t0" ? TargetResult::Failed : TargetResult::Answered; };
+    this->run(100, judge);
+    EXPECT_EQ(this->stateOf("t0"), TargetState::Ejected);
+    this->pool.probed("t0", true, this->now);
+    this->pool.report("t0", { 0, false }, this->now);
+    EXPECT_EQ(this->stateOf("t0"), TargetState::Ejected);
+    EXPECT_FALSE(this->run(50, judge).contains("t0"));
+}
+
+TEST_F(TargetPoolTest, EjectionKeepsAFloor)
+{
+    this->setTargets(4);
+    this->run(400, [](const auto&) { return TargetResult::Failed; });
+    auto usable = 0;
+    for (const auto& view : this->pool.views(this->now))
+        usable += view.state != TargetState::Ejected ? 1 : 0;
+    EXPECT_EQ(usable, 2);
+}
+
+TEST_F(TargetPoolTest, SheddingTargetThatReportsNoLoadIsAvoided)
+{
+    this->setTargets(2);
+    this->run(2000, [](const auto&) { return TargetResult::Answered; });
+    const auto runs = this->run(200, [&](const auto& target) {
+        this->pool.report("t0", { 0, false }, this->now);
+        return target == "t0" ? TargetResult::Shed : TargetResult::Answered;
+    });
+    EXPECT_LT(runs.contains("t0") ? runs.at("t0") : 0, 70);
+}
+
+TEST_F(TargetPoolTest, NewTargetRampsUp)
+{
+    this->setTargets(1);
+    EXPECT_EQ(this->pool.totalSlots(this->now), 1U);
+    this->run(10, [](const auto&) { return TargetResult::Answered; });
+    EXPECT_LT(this->pool.totalSlots(this->now), 10U);
+    this->run(1000, [](const auto&) { return TargetResult::Answered; });
+    EXPECT_EQ(this->pool.totalSlots(this->now), 10U);
+}
+
+TEST_F(TargetPoolTest, ConnectionsFollowTheHostsPart)
+{
+    this->setTargets(1);
+    this->pool.setHostPart(0.25);
+    EXPECT_EQ(this->pool.connectionLimit("t0"), 25U);
+}
+
+} // namespace
+} // namespace citronloft
--- /dev/null
+++ b/tests/fakes/virtual_world.hpp
@@ -0,0 +1,170 @@
+/// @file
+/// @brief Many hosts in virtual time over a lossy network and a fake store, for tests of the fleet components.
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <pcg_random.hpp>
+
+#include "citronloft/fleet/config_publisher.hpp"
+#include "citronloft/fleet/fleet_host.hpp"
+
+namespace citronloft {
+
+/// @brief Events in order of virtual time.
+class EventQueue {
+public:
+    auto now() const -> TimePoint { return this->current; }
+
+    auto after(Duration delay, std::function<void()> action) -> void
+    {
+        this->events.emplace(this->current + delay, std::move(action));
+    }
+
+    auto runFor(Duration duration) -> void
+    {
+        const auto end = this->current + duration;
+        while (!this->events.empty() && this->events.begin()->first <= end) {
+            auto node = this->events.extract(this->events.begin());
+            this->current = node.key();
+            node.mapped()();
+        }
+        this->current = end;
+    }
+
+private:
+    TimePoint current { std::chrono::hours { 1 } };
+    std::multimap<TimePoint, std::function<void()>> events;
+};
+
+/// @brief A host's clock, which runs faster or slower than the world's.
+class DriftingClock final : public Clock {
+public:
+    DriftingClock(const EventQueue& events, double drift)
+        : events(events)
+        , drift(drift)
+        , start(events.now())
+    {
+    }
+
+    [[nodiscard]] auto now() const -> TimePoint override
+    {
+        const auto elapsed = std::chrono::duration<double, Duration::period>(this->events.now() - this->start);
+        return this->start + std::chrono::duration_cast<Duration>(elapsed * (1 + this->drift));
+    }
+
+private:
+    const EventQueue& events;
+    double drift;
+    TimePoint start;
+};
+
+/// @brief Faults of the network and the store.
+struct WorldFaults {
+    double loss = 0;
+    double duplication = 0;
+    /// Part of the messages that take up to ten times as long.
+    double slow = 0;
+    bool storeDown = false;
+    double lostReplies = 0;
+    double staleReads = 0;
+    /// Pairs of zones that can't reach each other.
+    std::set<std::pair<std::string, std::string>> cuts;
+    /// Zones that can't reach the store.
+    std::set<std::string> cutFromStore;
+};
+
+/// @brief Options of a world.
+struct WorldOption {
+    std::uint64_t seed = 1;
+    std::vector<std::string> zones { "a1", "a2", "b1", "b2" };
+    std::size_t hostsPerZone = 3;
+    Duration tick = std::chrono::milliseconds { 20 };
+    Duration insideZone = std::chrono::milliseconds { 1 };
+    Duration betweenZones = std::chrono::milliseconds { 20 };
+    Duration store = std::chrono::milliseconds { 5 };
+    double drift = 0.005;
+    FleetHostOption host {};
+};
+
+/// @brief The world and its hosts.
+class VirtualWorld {
+public:
+    /// @brief One host, dead or alive.
+    struct Node {
+        std::string zone;
+        Address address;
+        std::unique_ptr<DriftingClock> clock;
+        std::unique_ptr<PeerTransport> transport;
+        std::unique_ptr<FleetHost> host;
+        std::vector<std::uint64_t> versions;
+        bool alive = true;
+        bool paused = false;
+        std::vector<std::function<void()>> held;
+        std::uint64_t bytesSent = 0;
+        std::uint64_t messagesSent = 0;
+    };
+
+    explicit VirtualWorld(WorldOption option);
+
+    EventQueue events;
+    WorldFaults faults;
+    std::vector<std::unique_ptr<Node>> nodes;
+    /// Calls that the store has answered or lost.
+    std::uint64_t storeCalls = 0;
+
+    /// @brief Starts a host and returns its index.
+    auto startHost(const std::string& zone) -> std::size_t;
+
+    auto crash(std::size_t index) -> void { this->nodes[index]->alive = false; }
+    auto pause(std::size_t index) -> void { this->nodes[index]->paused = true; }
+    auto resume(std::size_t index) -> void;
+
+    /// @brief Applies a configuration through the publisher; runs the world until it has an answer.
+    auto apply(const Config& config) -> ApplyResult;
+
+    auto run(Duration duration) -> void { this->events.runFor(duration); }
+
+    /// @brief Runs until the condition holds.
+    /// @return whether it held in time.
+    auto runUntil(const std::function<bool()>& condition, Duration limit) -> bool;
+
+    [[nodiscard]] auto random(double probability) -> bool
+    {
+        return std::uniform_real_distribution<double>(0, 1)(this->generator) < probability;
+    }
+
+    pcg32 generator;
+
+private:
+    class Transport;
+    class StoreClient;
+    class Fetcher;
+
+    struct Object {
+        std::string value;
+        std::uint64_t version = 0;
+        std::string oldValue;
+        std::uint64_t oldVersion = 0;
+    };
+
+    auto deliver(Node& node, std::function<void()> action) -> void;
+    auto scheduleTick(Node& node, Duration delay) -> void;
+    auto isCut(const std::string& left, const std::string& right) const -> bool;
+    auto find(const Address& address) -> Node*;
+
+    WorldOption option;
+    std::map<std::string, Object> objects;
+    std::uint64_t lastVersion = 0;
+    std::uint64_t lastIncarnation = 0;
+};
+
+} // namespace citronloft
