Leases: host leases outlive a steward's replacement; the store, not gossip, lets a host go on

Safety rested on membership. Change: the host lease (20 s) now covers a steward's replacement; past it a host goes on only while the store does not answer it, and a steward that gets the store back listens for a whole lease before it moves a slot; the store names the steward's address; silent members are greeted; a leaving host waits until its release is confirmed. Ruled out: a steward that goes on confirming without the store (its hosts go on by themselves, with fewer rules). Conclusion: leases alone decide; membership only speeds things up.

--- a/include/citronloft/fleet/fleet_host.hpp
+++ b/include/citronloft/fleet/fleet_host.hpp
@@ -56,7 +56,7 @@
     auto rates() -> RateLimiter& { return this->limiter; }
     auto claims() -> ClaimRegistry& { return *this->claimRegistry; }
     auto config() -> ConfigFollower& { return *this->follower; }
-    [[nodiscard]] auto shares() const -> const ShareHolder& { return this->holder; }
+    [[nodiscard]] auto shares() const -> const ShareHolder& { return *this->holder; }
     [[nodiscard]] auto steward() const -> const ZoneSteward& { return *this->zoneSteward; }
 
     /// @return part of the zone's slots that this host holds, from 0 to 1.
@@ -70,7 +70,7 @@
     FleetSurroundings surroundings;
     Membership members;
     std::unique_ptr<LenderList> lenders;
-    ShareHolder holder;
+    std::shared_ptr<ShareHolder> holder;
     RateLimiter limiter;
     std::shared_ptr<ZoneSteward> zoneSteward;
     std::shared_ptr<ConfigFollower> follower;
--- a/include/citronloft/fleet/lease_terms.hpp
+++ b/include/citronloft/fleet/lease_terms.hpp
@@ -11,9 +11,14 @@
     /// The steward's authority after a conditional update was sent.
     Duration stewardLease = std::chrono::seconds { 8 };
     Duration stewardRenewal = std::chrono::seconds { 2 };
-    /// A host's use of its slots after its renewal was sent.
-    Duration hostLease = std::chrono::seconds { 5 };
-    Duration hostRenewal = std::chrono::seconds { 1 };
+    /// A host's use of its slots after its renewal was sent; longer than it takes to replace a steward.
+    Duration hostLease = std::chrono::seconds { 20 };
+    Duration hostRenewal = std::chrono::seconds { 4 };
+    /// Interval in which a host that is not being confirmed asks the store.
+    Duration storePoll = std::chrono::seconds { 5 };
+    /// How long after a failed poll a host may go on without lease. A steward that gets the store back listens for
+    /// outlast(hostLease) before it moves a slot, which is longer.
+    Duration trustFailedPoll = std::chrono::seconds { 15 };
     /// Added wherever one host waits for another's deadline: message delay and time to hear of a newer epoch.
     Duration margin = std::chrono::seconds { 3 };
     /// Greatest relative difference of two hosts' clock rates.
--- a/include/citronloft/fleet/membership.hpp
+++ b/include/citronloft/fleet/membership.hpp
@@ -56,6 +56,9 @@
     /// @brief Sends heartbeats at once, for example when a new configuration is in force.
     auto hasten() -> void { this->nextGossipAt = TimePoint {}; }
 
+    /// @brief Adds an address to greet, for example the steward that the store names.
+    auto addSeed(const Address& seed) -> void;
+
     /// @brief Sets the source of the age that heartbeats carry for the configuration.
     auto setConfigAge(std::function<Duration()> age) -> void { this->configAge = std::move(age); }
 
@@ -77,9 +80,6 @@
     /// @return greatest steward epoch that any host of the zone has named.
     [[nodiscard]] auto greatestEpoch() const -> std::uint32_t { return this->highestEpoch; }
 
-    /// @return whether a live zone peer says that the platform answers.
-    [[nodiscard]] auto peerReachesStore() const -> bool;
-
     /// @return a live host with a newer configuration than `version`, zone peers first.
     [[nodiscard]] auto hostWithNewerConfig(std::uint64_t version) const -> std::optional<HostEntry>;
 
@@ -107,7 +107,8 @@
     auto message(TimePoint now, bool withMembers, bool withOwnZone) -> GossipMessage;
     auto ownSummary() -> ZoneSummary;
     [[nodiscard]] auto newestSummary(const std::string& zone, TimePoint now) const -> const Summary*;
-    [[nodiscard]] auto isKnown(const Address& address) const -> bool;
+    auto greetSilentMember(TimePoint now) -> void;
+    [[nodiscard]] auto isLiveAddress(const Address& address) const -> bool;
 
     MembershipOption option;
     HostEntry own;
--- a/include/citronloft/fleet/zone_steward.hpp
+++ b/include/citronloft/fleet/zone_steward.hpp
@@ -21,13 +21,14 @@
 struct ZoneShares {
     std::uint32_t epoch = 0;
     std::uint64_t steward = 0;
+    Address stewardAddress;
     /// Raised with every update, so that renewals without other changes differ.
     std::uint64_t renewals = 0;
     std::vector<SlotRange> ranges;
 
     template <typename Archive> auto serialize(Archive& archive) -> void
     {
-        archive(this->epoch, this->steward, this->renewals, this->ranges);
+        archive(this->epoch, this->steward, this->stewardAddress, this->renewals, this->ranges);
     }
 };
 
@@ -39,8 +40,8 @@
 /// A candidate takes the lease over only after the object has stayed the same for longer than the steward's lease while
 /// the store answered all the time. A new steward moves a slot only after its holder gave it up, or after every lease
 /// that an earlier steward can have granted has run out. Slots move only through a successful conditional update, so
-/// none moves while the store is down. A steward that can't reach the store goes on confirming, unless it was paused
-/// past its lease, or a zone peer says that the store answers, or a newer epoch is heard.
+/// none moves while the store is down. A steward whose lease has run out confirms nobody until the store has answered
+/// it; its hosts then go on by themselves (ShareHolder).
 class ZoneSteward : public std::enable_shared_from_this<ZoneSteward> {
 public:
     ZoneSteward(LeaseTerms terms, std::uint64_t incarnation, std::string zone, const Clock& clock,
@@ -103,7 +104,6 @@
     bool isSteward = false;
     bool leaving = false;
     bool callPending = false;
-    bool confirmRequired = false;
     ZoneShares shares;
     std::uint64_t version = absentVersion;
     std::uint64_t lastRenewal = 0;
@@ -113,6 +113,7 @@
     SlotMap working;
     std::map<std::uint64_t, Holder> holders;
     TimePoint observedSince {};
+    TimePoint earliestTakeover {};
     TimePoint authorityUntil {};
     /// Since then this steward has had authority and was not paused.
     TimePoint listeningSince {};
--- a/src/citronloft/fleet/fleet_host.cpp
+++ b/src/citronloft/fleet/fleet_host.cpp
@@ -42,7 +42,8 @@
     : surroundings(surroundings)
     , members(option.membership, self, surroundings.transport, seed)
     , lenders(std::make_unique<LenderList>(members))
-    , holder(option.lease, self.incarnation, members, surroundings.transport)
+    , holder(std::make_shared<ShareHolder>(
+          option.lease, self.incarnation, surroundings.clock, members, surroundings.transport, surroundings.store))
     , limiter(option.rates, option.lease, self.incarnation, *lenders, surroundings.transport)
     , zoneSteward(std::make_shared<ZoneSteward>(option.lease, self.incarnation, self.zone, surroundings.clock, members,
           surroundings.transport, surroundings.store))
@@ -62,12 +63,12 @@
     auto& self = this->members.self();
     const auto answeredAt = this->zoneSteward->storeAnsweredAt();
     self.storeReachable = answeredAt != TimePoint {} && now - answeredAt < storeReachableFor;
-    self.knownEpoch = this->holder.knownEpoch();
+    self.knownEpoch = this->holder->knownEpoch();
     this->members.tick(now);
     this->zoneSteward->tick(now);
-    this->holder.tick(now);
+    this->holder->tick(now);
     this->follower->tick(now);
-    this->limiter.setSlots(this->holder.usable(now), now);
+    this->limiter.setSlots(this->holder->usable(now), now);
     this->limiter.tick(now);
 }
 
@@ -80,11 +81,11 @@
     } else if (const auto* request = std::get_if<RenewRequest>(&message)) {
         this->zoneSteward->receive(*request, from, now);
     } else if (const auto* grant = std::get_if<RenewGrant>(&message)) {
-        this->holder.receive(*grant, now);
-        this->limiter.setSlots(this->holder.usable(now), now);
+        this->holder->receive(*grant, from, now);
+        this->limiter.setSlots(this->holder->usable(now), now);
     } else if (const auto* ask = std::get_if<LoanAsk>(&message)) {
         // A paused host may run this before its next tick; what it lends must still be its own.
-        this->limiter.setSlots(this->holder.usable(now), now);
+        this->limiter.setSlots(this->holder->usable(now), now);
         this->limiter.receive(*ask, from, now);
     } else if (const auto* loan = std::get_if<LoanGrant>(&message)) {
         this->limiter.receive(*loan, now);
@@ -93,7 +94,7 @@
 
 auto FleetHost::leave() -> void
 {
-    this->holder.leave();
+    this->holder->leave();
     this->zoneSteward->leave();
     this->members.self().state = HostState::Leaving;
     this->members.hasten();
@@ -101,14 +102,13 @@
 
 auto FleetHost::hasHandedOver() const -> bool
 {
-    const auto now = this->surroundings.clock.now();
     const auto isAlone = !this->members.steward().has_value();
-    return (this->holder.isEmpty(now) || isAlone) && this->zoneSteward->heldEpoch() == 0;
+    return (this->holder->hasHandedOver() || isAlone) && this->zoneSteward->heldEpoch() == 0;
 }
 
 auto FleetHost::zonePart() const -> double
 {
-    const auto slots = countSlots(this->holder.usable(this->surroundings.clock.now()));
+    const auto slots = countSlots(this->holder->usable(this->surroundings.clock.now()));
     return static_cast<double>(slots) / slotsPerZone;
 }
 
--- a/src/citronloft/fleet/membership.cpp
+++ b/src/citronloft/fleet/membership.cpp
@@ -104,11 +104,6 @@
     return greatest->stewardEpoch == 0 ? std::nullopt : std::optional { *greatest };
 }
 
-auto Membership::peerReachesStore() const -> bool
-{
-    return std::ranges::any_of(this->livePeers, &HostEntry::storeReachable);
-}
-
 auto Membership::hostWithNewerConfig(std::uint64_t version) const -> std::optional<HostEntry>
 {
     for (const auto* candidates : { &this->livePeers, &this->liveRemote }) {
@@ -163,6 +158,7 @@
     for (auto i = std::size_t { 0 }; i < std::min(this->option.gossipFanout, peers.size()); ++i)
         this->transport.send(peers[i].peerAddress(), outgoing);
     this->greetSeeds(now);
+    this->greetSilentMember(now);
 }
 
 auto Membership::gossipBetweenZones(TimePoint now) -> void
@@ -177,8 +173,8 @@
 auto Membership::greetSeeds(TimePoint now) -> void
 {
     auto unknown = std::vector<Address> {};
-    std::ranges::copy_if(
-        this->option.seeds, std::back_inserter(unknown), [&](const Address& seed) { return !this->isKnown(seed); });
+    std::ranges::copy_if(this->option.seeds, std::back_inserter(unknown),
+        [&](const Address& seed) { return !this->isLiveAddress(seed); });
     if (unknown.empty())
         return;
     shuffle(unknown, this->random);
@@ -236,17 +232,35 @@
     return &newest->second;
 }
 
-auto Membership::isKnown(const Address& address) const -> bool
+/// Two sides that each took the other for gone find each other again only if one of them still tries.
+auto Membership::greetSilentMember(TimePoint now) -> void
+{
+    auto silent = std::vector<Address> {};
+    for (const auto& [incarnation, member] : this->members) {
+        if (isLive(member.entry) && now - member.heardAt >= this->option.suspectAfter)
+            silent.push_back(member.entry.peerAddress());
+    }
+    if (silent.empty())
+        return;
+    const auto chosen = this->random(static_cast<std::uint32_t>(silent.size()));
+    this->transport.send(silent[chosen], this->message(now, true, false));
+}
+
+auto Membership::addSeed(const Address& seed) -> void
+{
+    constexpr auto greatestSeeds = std::size_t { 64 };
+    if (std::ranges::find(this->option.seeds, seed) != this->option.seeds.end())
+        return;
+    this->option.seeds.push_back(seed);
+    if (this->option.seeds.size() > greatestSeeds)
+        this->option.seeds.erase(this->option.seeds.begin());
+}
+
+auto Membership::isLiveAddress(const Address& address) const -> bool
 {
-    if (address == this->own.peerAddress())
-        return true;
     const auto isSame = [&](const HostEntry& host) { return host.peerAddress() == address; };
-    const auto isMember
-        = std::ranges::any_of(this->members, [&](const auto& item) { return isSame(item.second.entry); });
-    return isMember || std::ranges::any_of(this->summaries, [&](const auto& zone) {
-        return std::ranges::any_of(zone.second,
-            [&](const auto& publisher) { return std::ranges::any_of(publisher.second.summary.hosts, isSame); });
-    });
+    return address == this->own.peerAddress() || std::ranges::any_of(this->livePeers, isSame)
+        || std::ranges::any_of(this->liveRemote, isSame);
 }
 
 } // namespace citronloft
--- a/src/citronloft/fleet/share_holder.cpp
+++ b/src/citronloft/fleet/share_holder.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 
+#include "citronloft/base/codec.hpp"
 #include "citronloft/fleet/slot_map.hpp"
+#include "citronloft/fleet/zone_steward.hpp"
 
 namespace citronloft {
 
@@ -24,32 +26,36 @@
 
 } // namespace
 
-ShareHolder::ShareHolder(
-    LeaseTerms terms, std::uint64_t incarnation, const Membership& membership, PeerTransport& transport)
+ShareHolder::ShareHolder(LeaseTerms terms, std::uint64_t incarnation, const Clock& clock, Membership& membership,
+    PeerTransport& transport, std::shared_ptr<ObjectStore> store)
     : terms(terms)
     , incarnation(incarnation)
+    , clock(clock)
     , membership(membership)
     , transport(transport)
+    , store(std::move(store))
 {
 }
 
 auto ShareHolder::tick(TimePoint now) -> void
 {
     this->noticePause(now);
-    std::erase_if(this->releasing, [&](const Releasing& item) { return now >= item.until; });
-    if (!this->membership.zonePeers().empty())
-        this->lastHeardAt = now;
-    const auto steward = this->membership.steward();
-    if (!steward)
-        return;
-    const auto isNewSteward = steward->stewardEpoch > this->epoch;
-    const auto waits = this->slots.empty() || isNewSteward;
-    if (now < this->nextRenewalAt && !(waits && now >= this->sentAt + eagerRenewal))
-        return;
-    this->renew(*steward, now);
+    const auto released = std::erase_if(this->releasing, [&](const Releasing& item) { return now >= item.until; });
+    if (released > 0)
+        this->nextRenewalAt = now;
+    const auto isUnheard = now > this->sentAt && now + this->terms.hostLease / 2 >= this->deadline;
+    if (isUnheard && now >= this->nextPollAt && !this->isPolling)
+        this->pollStore(now);
+    const auto heard = this->membership.steward();
+    const auto isNewer = heard && (heard->stewardEpoch > this->epoch || !this->stewardAddress);
+    if (isNewer)
+        this->stewardAddress = heard->peerAddress();
+    const auto isDue = now >= this->nextRenewalAt || (this->isEager(now) && now >= this->sentAt + eagerRenewal);
+    if (this->stewardAddress && isDue)
+        this->renew(*this->stewardAddress, now);
 }
 
-auto ShareHolder::receive(const RenewGrant& grant, TimePoint now) -> void
+auto ShareHolder::receive(const RenewGrant& grant, const Address& from, TimePoint now) -> void
 {
     // Only the answer to the newest request counts: the steward knows that older ones can have no effect any more.
     if (grant.sequence != this->sequence || grant.epoch < this->epoch)
@@ -58,9 +64,11 @@
     if (!removed.empty())
         this->releasing.push_back({ std::move(removed), now + this->terms.reservation() });
     this->epoch = grant.epoch;
+    this->stewardAddress = from;
     this->slots = grant.slots;
     this->deadline = this->sentAt + this->terms.hostLease;
     this->confirmRequired = false;
+    this->isReleaseConfirmed = this->leaving && this->hasSentNothingHeld;
 }
 
 auto ShareHolder::usable(TimePoint now) const -> std::vector<SlotRange>
@@ -74,14 +82,39 @@
     return this->slots;
 }
 
-auto ShareHolder::isEmpty(TimePoint now) const -> bool { return this->held(now).empty(); }
-
 auto ShareHolder::mayContinue(TimePoint now) const -> bool
 {
-    if (this->membership.greatestEpoch() > this->epoch || this->membership.steward())
-        return false;
-    const auto knowsPeers = this->lastHeardAt != TimePoint {};
-    return !knowsPeers || now - this->lastHeardAt < this->terms.margin / 2;
+    return this->membership.greatestEpoch() <= this->epoch && this->failedPollAt != TimePoint {}
+    && now < this->failedPollAt + this->terms.trustFailedPoll;
+}
+
+/// Whether the host should renew at once rather than at the next interval.
+auto ShareHolder::isEager(TimePoint now) const -> bool
+{
+    return this->slots.empty() || this->leaving || now >= this->deadline
+        || this->membership.greatestEpoch() > this->epoch;
+}
+
+/// Asks the store who the steward is; no answer is the sign that nobody can be replaced at present.
+auto ShareHolder::pollStore(TimePoint now) -> void
+{
+    this->isPolling = true;
+    this->nextPollAt = now + this->terms.storePoll;
+    const auto key = zoneSharesKey(this->membership.self().zone);
+    this->store->get(key, [self = this->shared_from_this(), now](const absl::StatusOr<StoredObject>& result) {
+        self->isPolling = false;
+        const auto hasAnswer = result.ok() || absl::IsNotFound(result.status());
+        if (!hasAnswer) {
+            self->failedPollAt = now;
+            return;
+        }
+        const auto shares = result.ok() ? decode<ZoneShares>(result->value) : result.status();
+        if (!shares.ok() || shares->steward == 0 || shares->epoch < self->epoch)
+            return;
+        self->stewardAddress = shares->stewardAddress;
+        self->membership.addSeed(shares->stewardAddress);
+        self->nextRenewalAt = self->clock.now();
+    });
 }
 
 auto ShareHolder::held(TimePoint now) const -> std::vector<SlotRange>
@@ -107,14 +140,15 @@
         this->confirmRequired = true;
 }
 
-auto ShareHolder::renew(const HostEntry& steward, TimePoint now) -> void
+auto ShareHolder::renew(const Address& to, TimePoint now) -> void
 {
     this->nextRenewalAt = now + this->terms.hostRenewal;
     this->sentAt = now;
     ++this->sequence;
     // A host that must be confirmed uses nothing, yet still lists what it holds: its lent parts may be outstanding.
-    this->transport.send(
-        steward.peerAddress(), RenewRequest { this->incarnation, this->sequence, this->leaving, this->held(now) });
+    const auto held = this->held(now);
+    this->hasSentNothingHeld = held.empty();
+    this->transport.send(to, RenewRequest { this->incarnation, this->sequence, this->leaving, held });
 }
 
 } // namespace citronloft
--- a/src/citronloft/fleet/zone_steward.cpp
+++ b/src/citronloft/fleet/zone_steward.cpp
@@ -94,8 +94,6 @@
         return;
     this->observedSince = now;
     this->wasListening = false;
-    if (now >= this->authorityUntil)
-        this->confirmRequired = true;
 }
 
 auto ZoneSteward::poll(TimePoint now) -> void
@@ -116,8 +114,8 @@
             self->takeOver(time);
             return;
         }
-        // Time in which the store did not answer does not count as silence of the steward.
-        self->observedSince = time;
+        // After an outage the present steward gets a first chance to renew.
+        self->earliestTakeover = time + self->terms.stewardRenewal * 2;
     });
 }
 
@@ -135,7 +133,9 @@
         this->shares = *found;
         this->observedSince = now;
     }
-    if (isFree || now - this->observedSince > this->terms.outlast(this->terms.stewardLease))
+    this->membership.addSeed(found->stewardAddress);
+    const auto isSilent = now - this->observedSince > this->terms.outlast(this->terms.stewardLease);
+    if (isFree || (isSilent && now >= this->earliestTakeover))
         this->takeOver(now);
 }
 
@@ -144,6 +144,7 @@
     auto taken = this->shares;
     taken.epoch = std::max(this->shares.epoch, this->membership.greatestEpoch()) + 1;
     taken.steward = this->incarnation;
+    taken.stewardAddress = this->membership.self().peerAddress();
     ++taken.renewals;
     this->callPending = true;
     this->store->put(zoneSharesKey(this->zone), encode(taken), this->version,
@@ -164,7 +165,6 @@
     this->shares = std::move(taken);
     this->version = newVersion;
     this->isSteward = true;
-    this->confirmRequired = false;
     this->lastRenewal = this->shares.renewals;
     this->sentUpdates.clear();
     this->authorityUntil = sentAt + this->terms.stewardLease;
@@ -261,18 +261,10 @@
     if (sent == this->sentUpdates.end())
         return;
     this->authorityUntil = std::max(this->authorityUntil, sent->second + this->terms.stewardLease);
-    this->confirmRequired = this->clock.now() >= this->authorityUntil;
     this->sentUpdates.erase(this->sentUpdates.begin(), std::next(sent));
 }
 
-auto ZoneSteward::hasAuthority(TimePoint now) const -> bool
-{
-    if (now < this->authorityUntil)
-        return true;
-    const auto isPaused = now - this->lastTickAt > this->terms.pauseLimit;
-    return !this->confirmRequired && !isPaused && !this->membership.peerReachesStore()
-        && this->membership.greatestEpoch() <= this->shares.epoch;
-}
+auto ZoneSteward::hasAuthority(TimePoint now) const -> bool { return now < this->authorityUntil; }
 
 auto ZoneSteward::liveHolders(TimePoint now) const -> std::vector<std::uint64_t>
 {
