--- /dev/null
+++ b/scripts/failure-test.sh
@@ -0,0 +1,288 @@
+#!/usr/bin/env bash
+# Failure tests over real processes on loopback numbers; each case is judged by its history.
+# usage: scripts/failure-test.sh [CASE...]      without a case: all of them
+# FLEET_BIN names the folder of the programs; FLEET_KEEP=1 with FLEET_DIR keeps histories and logs.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+
+zones=6
+hosts_per_zone=3
+clients=(10.1.0.7 10.2.0.7 10.3.0.7 10.4.0.7 10.5.0.7 10.6.0.7)
+failures=0
+
+check() {
+  local what="$1"
+  shift
+  if "$@"; then
+    echo "  ok: $what"
+  else
+    echo "  FAILED: $what"
+    failures=$(( failures + 1 ))
+  fi
+}
+
+now_ns() { awk '{ printf "%.0f", $1 * 1e9 }' /proc/uptime; }
+
+record() { echo "$1" >>"$FLEET_DIR/events.jsonl"; }
+
+# Writes each team's rate for the judge.
+record_teams() {
+  awk '/^teams:/ { on = 1 } /^routes:/ { on = 0 } on && /name:/ { n = $3 } on && /rate:/ { r = $2 }
+    on && /burst:/ { printf "{\"event\":\"team\",\"name\":\"%s\",\"rate\":%s,\"burst\":%s}\n", n, r, $2 }' \
+    "$FLEET_DIR/config.yaml" >>"$FLEET_DIR/events.jsonl"
+}
+
+begin_fleet() {
+  copy_example examples/waitaha.yaml
+  issue_keys
+  record_teams
+  start_store
+  start_targets --slots 10 --service-ms 5
+  start_hosts "$zones" "$hosts_per_zone"
+  wait_for 10 apply_config && wait_for 30 fleet_is_ready $(( zones * hosts_per_zone ))
+}
+
+# begin_load SECONDS [ARGUMENTS...]
+begin_load() {
+  local seconds="$1"
+  shift
+  "$FLEET_BIN/standin_load" --lookup "127.$FLEET_NET.1.1:8080" "127.$FLEET_NET.4.2:8080" "127.$FLEET_NET.6.3:8080" \
+    --client "${clients[@]}" --teams "$FLEET_DIR/teams.json" --seconds "$seconds" --seed 11 \
+    --history "$FLEET_DIR/callers.jsonl" --json "$FLEET_DIR/load.json" "$@" >"$FLEET_DIR/load.txt" 2>&1 &
+  LOAD_PID=$!
+}
+
+end_load() {
+  check "every answer was the caller's own" wait "$LOAD_PID"
+}
+
+judge() {
+  "$FLEET_BIN/citronloft_judge" "$FLEET_DIR"/callers.jsonl "$FLEET_DIR"/targets.jsonl "$FLEET_DIR"/events.jsonl \
+    >"$FLEET_DIR/judge.txt"
+  local verdict=$?
+  sed 's/^/  /' "$FLEET_DIR/judge.txt" | head -5
+  check "the history keeps every rule" [ "$verdict" -eq 0 ]
+}
+
+# code_count CODE: answers with this code.
+code_count() { sed -n '/"codes"/,/}/p' "$FLEET_DIR/load.json" | grep -o "\"$1\": [0-9]*" | cut -d' ' -f2 | grep . || echo 0; }
+cut_count() { sed -n '/"codes"/,/}/p' "$FLEET_DIR/load.json" | grep -o '"cut-[0-9]": [0-9]*' | awk '{ s += $2 } END { print s + 0 }'; }
+
+store_control() { curl -s "http://$fleet_store/control?$1" >/dev/null; }
+target_control() { curl -s "http://$1/control?$2" >/dev/null; }
+
+# steward_of ZONE_NAME: "Z.H" of the zone's steward.
+steward_of() {
+  "$FLEET_BIN/citronloft" status --status-from "$fleet_status" --json | tr -d '\n ' | sed 's/},{"address"/}\n{"address"/g' |
+    grep "\"zone\":\"$1\"" | grep -v '"steward_epoch":0' | grep -o '"address":"[0-9.]*' | cut -d. -f3,4 | head -1
+}
+
+case_kill_host() {
+  begin_load 8
+  sleep 2
+  kill -KILL "${HOST_PIDS[2.2]}"
+  end_load
+  judge
+  check "most requests were answered" [ "$(code_count 1000)" -gt 2000 ]
+}
+
+case_pause_host() {
+  begin_load 12
+  sleep 2
+  kill -STOP "${HOST_PIDS[3.1]}"
+  sleep 6
+  kill -CONT "${HOST_PIDS[3.1]}"
+  end_load
+  judge
+}
+
+case_pause_steward() {
+  local steward
+  steward=$(steward_of auckland-a)
+  check "zone auckland-a has a steward" [ -n "$steward" ]
+  begin_load 20
+  sleep 2
+  kill -STOP "${HOST_PIDS[$steward]}"
+  sleep 14
+  kill -CONT "${HOST_PIDS[$steward]}"
+  end_load
+  judge
+}
+
+case_store_outage() {
+  begin_load 14 --idempotency-keys
+  sleep 2
+  store_control outage=1
+  sed -i 's/lookup_ttl_ms: 2000/lookup_ttl_ms: 1900/' "$FLEET_DIR/config.yaml"
+  apply_config >"$FLEET_DIR/apply.txt"
+  check "an apply during the outage is reported as not accepted" [ $? -eq 5 ]
+  sleep 6
+  store_control outage=0
+  check "an apply after the outage is in force everywhere" apply_config --wait --status-from "$fleet_status"
+  end_load
+  judge
+  check "payments without a claim were refused as not run" [ "$(code_count 2009)" -gt 0 ]
+  check "reads went on" [ "$(code_count 1000)" -gt 4000 ]
+}
+
+case_store_silent() {
+  begin_load 10
+  sleep 2
+  store_control outage=2
+  sleep 6
+  store_control outage=0
+  end_load
+  judge
+  check "no request needed the store" [ "$(code_count 1000)" -gt 4000 ]
+}
+
+case_lost_reply() {
+  store_control lose_replies=1
+  sed -i 's/lookup_ttl_ms: 2000/lookup_ttl_ms: 1800/' "$FLEET_DIR/config.yaml"
+  check "an apply whose replies are lost is settled as accepted" apply_config --wait --status-from "$fleet_status"
+  begin_load 8 --idempotency-keys
+  sleep 1
+  store_control lose_replies=20
+  end_load
+  judge
+}
+
+case_stop_host() {
+  begin_load 10
+  sleep 2
+  local pid="${HOST_PIDS[2.1]}"
+  kill -TERM "$pid"
+  check "the stopped host exits with 0" wait "$pid"
+  end_load
+  judge
+  check "no request was cut" [ "$(cut_count)" -eq 0 ]
+  grep -o 'event=host-drained.*' "$FLEET_DIR/host-2.1.log" | sed 's/^/  /'
+}
+
+case_stop_half_zone() {
+  begin_load 12
+  sleep 2
+  kill -TERM "${HOST_PIDS[5.1]}" "${HOST_PIDS[5.2]}"
+  check "the first stopped host exits with 0" wait "${HOST_PIDS[5.1]}"
+  check "the second stopped host exits with 0" wait "${HOST_PIDS[5.2]}"
+  end_load
+  judge
+  check "no request was cut" [ "$(cut_count)" -eq 0 ]
+}
+
+case_drain_target() {
+  local target="127.$FLEET_NET.1.101:9000"
+  begin_load 12
+  sleep 2
+  "$FLEET_BIN/citronloft" drain "$target" --file "$FLEET_DIR/config.yaml" >/dev/null
+  check "the drain is accepted" apply_config
+  record "{\"event\":\"drained\",\"target\":\"$target\",\"t\":$(now_ns)}"
+  end_load
+  judge
+}
+
+case_withdraw_key() {
+  local key
+  key=$(grep -o '"counter-hornby": { "key": "[^"]*' "$FLEET_DIR/teams.json" | cut -d'"' -f6)
+  begin_load 12
+  sleep 2
+  "$FLEET_BIN/citronloft" key withdraw "$key" --file "$FLEET_DIR/config.yaml" >/dev/null
+  check "the withdrawal is accepted" apply_config
+  record "{\"event\":\"withdrawn\",\"key\":\"$(printf %s "$key" | sha256sum | cut -d' ' -f1)\",\"t\":$(now_ns)}"
+  end_load
+  judge
+  check "the withdrawn key was refused" [ "$(code_count 2002)" -gt 0 ]
+  check "no log holds a key" bash -c "! grep -rq clk_ '$FLEET_DIR'/*.log '$FLEET_DIR'/targets.jsonl '$FLEET_DIR'/status.json"
+  check "no metric holds a key" bash -c "! curl -s http://$fleet_status/metrics | grep -q clk_"
+}
+
+case_operators_race() {
+  local round accepted conflicts
+  for round in 1 2 3 4 5; do
+    sed "s/lookup_ttl_ms: 2000/lookup_ttl_ms: $(( 1000 + round ))/" "$FLEET_DIR/config.yaml" >"$FLEET_DIR/one.yaml"
+    sed "s/lookup_ttl_ms: 2000/lookup_ttl_ms: $(( 1500 + round ))/" "$FLEET_DIR/config.yaml" >"$FLEET_DIR/two.yaml"
+    for name in one two; do
+      "$FLEET_BIN/citronloft" apply "$FLEET_DIR/$name.yaml" --platform "$fleet_store" --operator "$name" \
+        --expect "$round" >"$FLEET_DIR/$name.txt" &
+    done
+    wait %- %+
+    accepted=$(cat "$FLEET_DIR"/one.txt "$FLEET_DIR"/two.txt | grep -c '^accepted')
+    conflicts=$(cat "$FLEET_DIR"/one.txt "$FLEET_DIR"/two.txt | grep -c 'came first')
+    check "round $round: one of two applies is accepted, the other hears who came first" \
+      [ "$accepted $conflicts" = "1 1" ]
+  done
+}
+
+case_silent_target() {
+  begin_load 12
+  sleep 2
+  target_control "127.$FLEET_NET.1.101:9000" silent=1
+  target_control "127.$FLEET_NET.2.151:9000" silent=1
+  end_load
+  judge
+}
+
+case_lying_target() {
+  begin_load 10
+  sleep 2
+  target_control "127.$FLEET_NET.1.101:9000" 'shed=1&report_idle=1'
+  end_load
+  judge
+  check "hardly any request was refused for it" [ "$(code_count 2016)" -lt 20 ]
+}
+
+case_zone_without_targets() {
+  local address
+  begin_load 12
+  sleep 2
+  for address in $(grep -o "127\.$FLEET_NET\.4\.[0-9]*:9000" "$FLEET_DIR/config.yaml"); do
+    "$FLEET_BIN/citronloft" drain "$address" --file "$FLEET_DIR/config.yaml" >/dev/null
+  done
+  check "the drains are accepted" apply_config
+  end_load
+  judge
+  check "the zone's requests ran elsewhere" [ "$(code_count 1000)" -gt 5000 ]
+  curl -s "http://127.$FLEET_NET.4.1:8090/metrics" | grep 'spills_total' | sed 's/^/  /'
+}
+
+case_new_host_without_store() {
+  store_control outage=1
+  sleep 1
+  start_host 2 4
+  check "a new host serves while the store is down" wait_for 10 curl -sf "http://127.$FLEET_NET.2.4:8090/healthz"
+  store_control outage=0
+}
+
+case_team_over_its_rate() {
+  sed -i 's/\("households-north".*"rate": \)[0-9.]*/\11500/' "$FLEET_DIR/teams.json"
+  begin_load 8
+  end_load
+  judge
+  check "the team was refused by its rate" [ "$(code_count 2005)" -gt 4000 ]
+  sed -n '/^team/,/^$/p' "$FLEET_DIR/load.txt" | sed 's/^/  /'
+}
+
+run_case() {
+  (
+    failures=0
+    FLEET_DIR="${FLEET_DIR:-}"
+    [ -n "$FLEET_DIR" ] || unset FLEET_DIR
+    . scripts/fleet.sh
+    trap stop_fleet EXIT
+    echo "case $1"
+    begin_fleet || { echo "  FAILED: the fleet did not start"; exit 1; }
+    "case_${1//-/_}"
+    exit $(( failures > 0 ))
+  )
+}
+
+all_cases=$(grep -o '^case_[a-z_]*' "$0" | cut -d_ -f2- | tr _ -)
+bad=()
+for name in ${*:-$all_cases}; do
+  run_case "$name" || bad+=("$name")
+done
+if [ ${#bad[@]} -gt 0 ]; then
+  echo "failed: ${bad[*]}"
+  exit 1
+fi
+echo "all cases passed"
--- /dev/null
+++ b/src/citronloft/base/config_test.cpp
@@ -0,0 +1,181 @@
+#include <fstream>
+#include <sstream>
+
+#include <gtest/gtest.h>
+
+#include "citronloft/base/config_edit.hpp"
+#include "citronloft/base/config_file.hpp"
+#include "citronloft/base/config_records.hpp"
+#include "citronloft/base/host_settings.hpp"
+#include "citronloft/base/result_code.hpp"
+
+namespace citronloft {
+namespace {
+
+auto readSource(const std::string& path) -> std::string
+{
+    auto file = std::ifstream(std::string { CITRONLOFT_SOURCE_DIR } + "/" + path);
+    auto text = std::ostringstream {};
+    text << file.rdbuf();
+    return text.str();
+}
+
+constexpr auto smallConfig = R"(# comment
+teams:
+  - name: a      # the first
+    rate: 5
+    burst: 2
+    keys: []
+  - name: b
+    rate: 5
+    burst: 2
+routes:
+  - { name: r, prefix: /r, pool: p }
+pools:
+  - name: p
+    targets:
+      - { address: "10.0.0.1:80", zone: z }
+      - address: "10.0.0.2:80"
+        zone: z
+zones:
+  - { name: z, region: one }
+)";
+
+TEST(ConfigFile, ExamplesAreValidAndSurviveARoundTrip)
+{
+    for (const auto* path : { "examples/waitaha.yaml", "examples/fascia.yaml" }) {
+        const auto reading = readConfig(readSource(path));
+        ASSERT_TRUE(reading.config) << path << ": " << formatFault(path, reading.faults.at(0));
+        EXPECT_EQ(reading.config->zones.size(), 6U);
+        EXPECT_EQ(reading.config->teams.size(), 8U);
+        EXPECT_EQ(readConfig(writeConfig(*reading.config)).config, reading.config);
+        const auto records = fromRecords(toRecords(*reading.config));
+        ASSERT_TRUE(records.ok()) << records.status();
+        EXPECT_EQ(toRecords(*records), toRecords(*reading.config));
+    }
+}
+
+TEST(ConfigFile, ReportsEveryFaultWithLineAndField)
+{
+    const auto reading = readConfig(R"(teams:
+  - name: a
+    rate: -1
+    burst: 0
+    wieght: 2
+  - name: a
+    rate: many
+    burst: 1
+routes:
+  - { name: r, prefix: r, pool: nowhere }
+pools:
+  - name: p
+    targets:
+      - { address: "example.org:80", zone: z }
+)");
+    EXPECT_FALSE(reading.config);
+    auto text = std::string {};
+    for (const auto& fault : reading.faults)
+        text += formatFault("f", fault) + "\n";
+    for (const auto* expected : { "f:3: teams[0].rate: must be from 0", "f:4: teams[0].burst: must be at least 1",
+             "f:5: teams[0].wieght: is not a known field; the nearest is 'weight'",
+             "f:7: teams[1].rate: has the wrong type", "'a' stands more than once",
+             "f:10: routes[0].prefix: must start with '/'", "'nowhere' is not defined",
+             "f:14: pools[0].targets[0].address: must be an IP number and a port", "'z' is not defined" })
+        EXPECT_NE(text.find(expected), std::string::npos) << expected << "\nin\n" << text;
+}
+
+TEST(ConfigFile, MalformedYamlIsAFault)
+{
+    for (const auto* text : { "teams: [", "- a\n- b\n", "teams: 5", "just text", "" })
+        EXPECT_FALSE(readConfig(text).config) << text;
+}
+
+TEST(ConfigRecords, DeltaTurnsOneIntoTheOther)
+{
+    auto from = *readConfig(smallConfig).config;
+    auto to = from;
+    to.teams.erase(to.teams.begin());
+    to.pools[0].targets[0].draining = true;
+    to.pools.push_back({ "p-2", {} });
+    auto records = toRecords(from);
+    const auto changes = diffRecords(records, toRecords(to));
+    EXPECT_EQ(changes.size(), 3U);
+    applyChanges(records, changes);
+    EXPECT_EQ(*fromRecords(records), to);
+}
+
+TEST(ConfigRecords, MalformedRecordsAreRefused)
+{
+    auto records = toRecords(*readConfig(smallConfig).config);
+    records["team/x"] = "rubbish";
+    EXPECT_FALSE(fromRecords(records).ok());
+    records.erase("team/x");
+    records["unknown/x"] = "";
+    EXPECT_FALSE(fromRecords(records).ok());
+}
+
+TEST(ConfigEdit, KeysAreAddedAndRemovedWithoutTouchingTheRest)
+{
+    const auto first = sha256("one");
+    const auto second = sha256("two");
+    for (const auto* team : { "a", "b" }) {
+        const auto one = addTeamKey(smallConfig, team, first);
+        ASSERT_TRUE(one.ok());
+        const auto two = addTeamKey(*one, team, second);
+        ASSERT_TRUE(two.ok());
+        const auto config = readConfig(*two).config;
+        ASSERT_TRUE(config) << *two;
+        EXPECT_EQ(config->teams[team[0] - 'a'].keys.size(), 2U);
+        EXPECT_NE(two->find("# the first"), std::string::npos);
+        const auto removed = removeTeamKey(*removeTeamKey(*two, first), second);
+        ASSERT_TRUE(removed.ok());
+        EXPECT_EQ(readConfig(*removed).config, readConfig(smallConfig).config) << *removed;
+    }
+    EXPECT_FALSE(addTeamKey(smallConfig, "nobody", first).ok());
+    EXPECT_FALSE(removeTeamKey(smallConfig, first).ok());
+}
+
+TEST(ConfigEdit, DrainsTargetsAndZones)
+{
+    for (const auto* name : { "10.0.0.1:80", "10.0.0.2:80", "z" }) {
+        const auto drained = setDraining(smallConfig, name, true);
+        ASSERT_TRUE(drained.ok()) << name;
+        EXPECT_NE(readConfig(*drained).config, readConfig(smallConfig).config) << *drained;
+        EXPECT_EQ(readConfig(*setDraining(*drained, name, false)).config, readConfig(smallConfig).config);
+    }
+    EXPECT_FALSE(setDraining(smallConfig, "nothing", true).ok());
+}
+
+TEST(HostSettings, ReadsAndRefusesStrictly)
+{
+    const auto good = std::string { "ip: 10.0.0.1\nzone: z\nplatform: 10.0.0.9:1\nfleet_secret: sixteen-characters\n" };
+    EXPECT_TRUE(readHostSettings(good).settings);
+    for (const auto* bad : { "servce_port: 1\n", "service_port: 70000\n", "seeds: [x]\n", "log: { level: loud }\n",
+             "queue: lifo\n", "log: 5\n" })
+        EXPECT_FALSE(readHostSettings(good + bad).settings) << bad;
+    EXPECT_EQ(readHostSettings("zone: z\n").faults.size(), 4U);
+}
+
+TEST(ResultCodes, AreNumberedInOrderAndDocumented)
+{
+    const auto page = readSource("docs/RESULT-CODES.md");
+    auto rows = std::size_t { 0 };
+    auto last = 0;
+    for (const auto& info : resultTable()) {
+        const auto number = static_cast<int>(info.code);
+        EXPECT_GT(number, last);
+        last = number;
+        const auto row = "| " + std::to_string(number) + " | " + std::string { info.name } + " | "
+            + std::to_string(info.httpStatus) + " | " + std::string { outcomeName(info.outcome) } + " | "
+            + std::string { info.summary } + " |";
+        EXPECT_NE(page.find(row), std::string::npos) << row;
+        ++rows;
+    }
+    auto documented = std::size_t { 0 };
+    for (auto at = page.find("\n| "); at != std::string::npos; at = page.find("\n| ", at + 1))
+        documented += std::isdigit(static_cast<unsigned char>(page[at + 3])) != 0 ? 1 : 0;
+    EXPECT_EQ(documented, rows);
+}
+
+} // namespace
+} // namespace citronloft
--- a/src/citronloft/edge/http_server.cpp
+++ b/src/citronloft/edge/http_server.cpp
@@ -42,6 +42,14 @@
     return ResultCode::MalformedRequest;
 }
 
+/// A transfer coding other than plain "chunked" could be read as another length by the next server.
+auto hasAmbiguousLength(const http::request<http::string_body>& request) -> bool
+{
+    const auto codings = request.count(http::field::transfer_encoding);
+    const auto isChunked = beast::iequals(request[http::field::transfer_encoding], "chunked");
+    return codings > 1 || (codings == 1 && !isChunked) || request.count(http::field::host) > 1;
+}
+
 auto isProtocolError(const beast::error_code& error) -> bool
 {
     return error.category() == http::make_error_code(http::error::bad_method).category()
@@ -188,6 +196,8 @@
         auto error = beast::error_code {};
         connection->stream.expires_after(this->option.requestTimeout);
         http::async_read_header(connection->stream, connection->buffer, parser, yield[error]);
+        if (!error && hasAmbiguousLength(parser.get()))
+            error = http::error::bad_transfer_encoding;
         if (!error && beast::iequals(parser.get()[http::field::expect], "100-continue"))
             this->writeContinue(*connection, yield);
         if (!error)
--- /dev/null
+++ b/src/citronloft/fleet/sealed_datagram_test.cpp
@@ -0,0 +1,58 @@
+#include <gtest/gtest.h>
+
+#include "citronloft/fleet/sealed_datagram.hpp"
+
+namespace citronloft {
+namespace {
+
+auto ask() -> PeerMessage { return LoanAsk { 7, 9, { { 1, 2 } }, {} }; }
+
+TEST(SealedDatagram, OpensWhatItsFleetSealed)
+{
+    auto sender = DatagramSealer("secret-of-the-fleet", 1);
+    auto receiver = DatagramSealer("secret-of-the-fleet", 2);
+    const auto opened = receiver.open(*sender.seal(ask()));
+    ASSERT_TRUE(opened.ok());
+    EXPECT_EQ(std::get<LoanAsk>(*opened).sequence, 9U);
+}
+
+TEST(SealedDatagram, RefusesOtherSecretsChangesAndCuts)
+{
+    auto sender = DatagramSealer("secret-of-the-fleet", 1);
+    auto receiver = DatagramSealer("secret-of-the-fleet", 2);
+    const auto datagram = *sender.seal(ask());
+    EXPECT_TRUE(absl::IsPermissionDenied(DatagramSealer("other", 3).open(datagram).status()));
+    for (auto i = std::size_t { 0 }; i < datagram.size(); ++i) {
+        auto changed = datagram;
+        changed[i] ^= 1;
+        EXPECT_FALSE(receiver.open(changed).ok()) << i;
+        EXPECT_FALSE(receiver.open(datagram.substr(0, i)).ok()) << i;
+    }
+    EXPECT_FALSE(receiver.open(std::string(greatestDatagramBytes + 1, 'x')).ok());
+}
+
+TEST(SealedDatagram, RefusesReplaysAndTakesReorderedOnes)
+{
+    auto sender = DatagramSealer("secret-of-the-fleet", 1);
+    auto receiver = DatagramSealer("secret-of-the-fleet", 2);
+    const auto first = *sender.seal(ask());
+    const auto second = *sender.seal(ask());
+    EXPECT_TRUE(receiver.open(second).ok());
+    EXPECT_TRUE(receiver.open(first).ok());
+    EXPECT_TRUE(absl::IsAlreadyExists(receiver.open(first).status()));
+    EXPECT_TRUE(absl::IsAlreadyExists(receiver.open(second).status()));
+    for (auto i = 0; i < 70; ++i)
+        receiver.open(*sender.seal(ask())).IgnoreError();
+    EXPECT_TRUE(absl::IsAlreadyExists(receiver.open(first).status()));
+}
+
+TEST(SealedDatagram, RefusesToSendWhatIsTooLong)
+{
+    auto sender = DatagramSealer("secret-of-the-fleet", 1);
+    auto message = LoanAsk {};
+    message.entries.resize(5000);
+    EXPECT_FALSE(sender.seal(message).ok());
+}
+
+} // namespace
+} // namespace citronloft
--- /dev/null
+++ b/src/citronloft/fleet/store_users_test.cpp
@@ -0,0 +1,196 @@
+#include <gtest/gtest.h>
+
+#include "citronloft/fleet/claim_registry.hpp"
+#include "citronloft/fleet/config_loader.hpp"
+#include "citronloft/fleet/config_publisher.hpp"
+#include "fakes/memory_store.hpp"
+
+namespace citronloft {
+namespace {
+
+/// Faults one after the other, then none.
+auto faultsOnce(std::vector<WriteFault> faults) -> std::function<WriteFault(const std::string&)>
+{
+    return [faults = std::move(faults), next = std::size_t { 0 }](
+               const std::string& /*key*/) mutable { return next < faults.size() ? faults[next++] : WriteFault::None; };
+}
+
+class ClaimTest : public testing::Test {
+protected:
+    auto claim(const std::string& key = "k") -> ClaimOutcome
+    {
+        auto result = ClaimOutcome::Unavailable;
+        this->registry->claim("team", key, [&](ClaimOutcome outcome, const Claim& claimed) {
+            result = outcome;
+            this->last = claimed;
+        });
+        return result;
+    }
+
+    std::shared_ptr<MemoryStore> store = std::make_shared<MemoryStore>();
+    std::shared_ptr<ClaimRegistry> registry = std::make_shared<ClaimRegistry>(store);
+    Claim last;
+};
+
+TEST_F(ClaimTest, SecondClaimOfAKeyIsADuplicate)
+{
+    EXPECT_EQ(this->claim(), ClaimOutcome::Granted);
+    EXPECT_EQ(this->claim(), ClaimOutcome::Duplicate);
+    EXPECT_EQ(this->claim("other"), ClaimOutcome::Granted);
+}
+
+TEST_F(ClaimTest, LostReplyIsSettledByReadingBack)
+{
+    this->store->nextFault = faultsOnce({ WriteFault::ReplyLost });
+    EXPECT_EQ(this->claim(), ClaimOutcome::Granted);
+    EXPECT_EQ(this->claim(), ClaimOutcome::Duplicate);
+}
+
+TEST_F(ClaimTest, RefusedWriteIsTriedAgain)
+{
+    this->store->nextFault = faultsOnce({ WriteFault::Refused, WriteFault::ReplyLost });
+    EXPECT_EQ(this->claim(), ClaimOutcome::Granted);
+}
+
+TEST_F(ClaimTest, DownStoreGrantsNothing)
+{
+    this->store->isDown = true;
+    EXPECT_EQ(this->claim(), ClaimOutcome::Unavailable);
+    this->store->isDown = false;
+    EXPECT_EQ(this->claim(), ClaimOutcome::Granted);
+}
+
+TEST_F(ClaimTest, ReleasedKeyCanBeClaimedAgainOnce)
+{
+    this->claim();
+    this->registry->release(this->last);
+    EXPECT_EQ(this->claim(), ClaimOutcome::Granted);
+    EXPECT_EQ(this->claim(), ClaimOutcome::Duplicate);
+}
+
+TEST_F(ClaimTest, OldHolderCantReleaseANewHoldersClaim)
+{
+    this->claim();
+    const auto old = this->last;
+    this->registry->release(old);
+    this->claim();
+    this->registry->release(old);
+    EXPECT_EQ(this->claim(), ClaimOutcome::Duplicate);
+}
+
+TEST_F(ClaimTest, StoreHoldsNoKeyInClear)
+{
+    this->claim("secret-idempotency-key");
+    for (const auto& [name, object] : this->store->objects)
+        EXPECT_EQ((name + object.value).find("secret"), std::string::npos);
+}
+
+class PublisherTest : public testing::Test {
+protected:
+    static auto config(double rate) -> Config
+    {
+        auto made = Config {};
+        for (auto i = 0; i < 50; ++i)
+            made.teams.push_back({ "team-" + std::to_string(i), rate, 5, 1, {} });
+        return made;
+    }
+
+    auto apply(const Config& made, const std::string& id, std::optional<std::uint64_t> expected = {}) -> ApplyResult
+    {
+        auto result = ApplyResult {};
+        applyConfig(this->store, { made, "operator", "test", id, expected }, {},
+            [&](ApplyResult done) { result = std::move(done); });
+        return result;
+    }
+
+    auto stored() -> ConfigRecords
+    {
+        auto records = ConfigRecords {};
+        const auto manifest = decode<ConfigManifest>(this->store->objects.at(manifestKey).value);
+        loadRecords(this->store, *manifest, [&](const auto& loaded) { records = *loaded; });
+        return records;
+    }
+
+    std::shared_ptr<MemoryStore> store = std::make_shared<MemoryStore>();
+};
+
+TEST_F(PublisherTest, AppliesAndReadsBack)
+{
+    const auto result = this->apply(config(1), "a");
+    EXPECT_EQ(result.outcome, ApplyOutcome::Accepted);
+    EXPECT_EQ(result.version, 1U);
+    EXPECT_EQ(this->stored(), toRecords(config(1)));
+    EXPECT_EQ(this->apply(config(1), "b").outcome, ApplyOutcome::Unchanged);
+}
+
+TEST_F(PublisherTest, ConflictNamesWhoCameFirst)
+{
+    this->apply(config(1), "a");
+    this->apply(config(2), "b", 1);
+    const auto late = this->apply(config(3), "c", 1);
+    EXPECT_EQ(late.outcome, ApplyOutcome::Conflict);
+    EXPECT_NE(late.reason.find("by operator"), std::string::npos);
+    EXPECT_EQ(this->stored(), toRecords(config(2)));
+}
+
+TEST_F(PublisherTest, LostReplyOfTheManifestIsAccepted)
+{
+    this->apply(config(1), "a");
+    this->store->nextFault
+        = [](const std::string& key) { return key == manifestKey ? WriteFault::ReplyLost : WriteFault::None; };
+    EXPECT_EQ(this->apply(config(2), "b").outcome, ApplyOutcome::Accepted);
+}
+
+TEST_F(PublisherTest, LostReplyIsAcceptedEvenIfAnotherChangeCameAfterIt)
+{
+    this->apply(config(1), "a");
+    auto isFirst = true;
+    this->store->nextFault = [&](const std::string& key) {
+        if (key != manifestKey || !std::exchange(isFirst, false))
+            return WriteFault::None;
+        return WriteFault::ReplyLost;
+    };
+    auto result = ApplyResult {};
+    auto option = ApplyOption {};
+    // Another operator applies before this one asks again.
+    option.later = [&](const std::function<void()>& action) {
+        EXPECT_EQ(this->apply(config(3), "c").outcome, ApplyOutcome::Accepted);
+        action();
+    };
+    applyConfig(this->store, { config(2), "operator", "", "b", {} }, option, [&](ApplyResult done) { result = done; });
+    EXPECT_EQ(result.outcome, ApplyOutcome::Accepted);
+    EXPECT_EQ(result.version, 2U);
+    EXPECT_EQ(this->stored(), toRecords(config(3)));
+}
+
+TEST_F(PublisherTest, OutageBeforeTheUpdateIsNotAccepted)
+{
+    this->store->isDown = true;
+    EXPECT_EQ(this->apply(config(1), "a").outcome, ApplyOutcome::NotAccepted);
+}
+
+TEST_F(PublisherTest, OutageOfTheUpdateIsUnknown)
+{
+    this->apply(config(1), "a");
+    this->store->nextFault = [&](const std::string& key) {
+        this->store->isDown = key == manifestKey;
+        return key == manifestKey ? WriteFault::ReplyLost : WriteFault::None;
+    };
+    EXPECT_EQ(this->apply(config(2), "b").outcome, ApplyOutcome::Unknown);
+}
+
+TEST_F(PublisherTest, SmallChangeRewritesFewChunks)
+{
+    auto large = Config {};
+    for (auto i = 0; i < 20'000; ++i)
+        large.teams.push_back({ "team-" + std::to_string(i), 1, 5, 1, {} });
+    this->apply(large, "a");
+    const auto before = this->store->lastVersion;
+    large.teams[777].rate = 2;
+    EXPECT_EQ(this->apply(large, "b").changedRecords, 1U);
+    EXPECT_EQ(this->store->lastVersion - before, 2U);
+    EXPECT_EQ(this->stored(), toRecords(large));
+}
+
+} // namespace
+} // namespace citronloft
