--- /dev/null
+++ b/bench/fleet_bench.cpp
@@ -0,0 +1,199 @@
+/// @file
+/// @brief Control cost and convergence of many hosts in virtual time, and refusals by lending strategy.
+
+#include <chrono>
+#include <iomanip>
+#include <iostream>
+
+#include <boost/program_options.hpp>
+
+#include "citronloft/check/rate_window.hpp"
+#include "fakes/virtual_world.hpp"
+
+namespace citronloft {
+namespace {
+
+using namespace std::chrono_literals;
+
+auto makeConfig(const std::vector<std::string>& zones, std::size_t teams, double rate, double burst) -> Config
+{
+    auto config = Config {};
+    for (auto i = std::size_t { 0 }; i < teams; ++i)
+        config.teams.push_back({ "team-" + std::to_string(i), rate, burst, 1, {} });
+    for (const auto& zone : zones)
+        config.zones.push_back({ zone, zone.substr(0, 2), 1, false });
+    return config;
+}
+
+auto makeZones(std::size_t count) -> std::vector<std::string>
+{
+    auto zones = std::vector<std::string> {};
+    for (auto i = std::size_t { 0 }; i < count; ++i)
+        zones.push_back("r" + std::to_string(i / 2) + "-" + std::to_string(i));
+    return zones;
+}
+
+auto isInForce(VirtualWorld& world, std::uint64_t version) -> bool
+{
+    return std::ranges::all_of(
+        world.nodes, [&](auto& node) { return !node->versions.empty() && node->versions.back() >= version; });
+}
+
+auto bytesSent(VirtualWorld& world) -> std::uint64_t
+{
+    auto sum = std::uint64_t { 0 };
+    for (auto& node : world.nodes)
+        sum += node->bytesSent;
+    return sum;
+}
+
+struct ControlRun {
+    std::size_t zones = 6;
+    std::size_t hostsPerZone = 1;
+    std::size_t teams = 8;
+};
+
+auto runControl(const ControlRun& run, double loss) -> void
+{
+    auto option = WorldOption {};
+    option.zones = makeZones(run.zones);
+    option.hostsPerZone = run.hostsPerZone;
+    auto world = VirtualWorld(option);
+    auto config = makeConfig(option.zones, run.teams, 100, 20);
+    world.apply(config);
+    if (!world.runUntil([&] { return isInForce(world, 1); }, 60s))
+        std::cout << "the first configuration did not reach every host in 60 s\n";
+    world.run(10s);
+    world.faults.loss = loss;
+    const auto hosts = static_cast<double>(world.nodes.size());
+    constexpr auto quietSeconds = 20.0;
+    const auto idleBytes = bytesSent(world);
+    const auto idleCalls = world.storeCalls;
+    const auto idleStart = std::chrono::steady_clock::now();
+    world.run(20s);
+    const auto cpu = std::chrono::duration<double>(std::chrono::steady_clock::now() - idleStart).count();
+    const auto idleRate = static_cast<double>(bytesSent(world) - idleBytes) / hosts / quietSeconds;
+    const auto callRate = static_cast<double>(world.storeCalls - idleCalls) / quietSeconds;
+    auto times = std::vector<double> {};
+    const auto changeBytes = bytesSent(world);
+    constexpr auto changes = 20;
+    for (auto i = 0; i < changes; ++i) {
+        config.teams[0].rate += 1;
+        const auto result = world.apply(config);
+        const auto start = world.events.now();
+        const auto arrived = world.runUntil([&] { return isInForce(world, result.version); }, 30s);
+        times.push_back(
+            arrived ? std::chrono::duration<double, std::milli>(world.events.now() - start).count() : 30000);
+        world.run(start + 1s - world.events.now());
+    }
+    const auto changeRate = static_cast<double>(bytesSent(world) - changeBytes) / hosts / changes;
+    std::ranges::sort(times);
+    std::cout << std::setw(6) << world.nodes.size() << std::setw(7) << run.zones << std::setw(8) << run.teams
+              << std::setw(12) << idleRate << std::setw(14) << changeRate << std::setw(13) << callRate << std::setw(14)
+              << cpu / quietSeconds / hosts * 100 << std::setw(13) << times[times.size() / 2] << std::setw(11)
+              << times.back() << "\n";
+}
+
+auto runControlTable(double loss) -> void
+{
+    std::cout << "control cost in virtual time, loss " << loss * 100 << " %, one change a second\n";
+    std::cout
+        << " hosts  zones   teams  idle B/s/h  change B/s/h  store calls/s  cpu %/host  in force p50 ms  max ms\n";
+    for (const auto& run :
+        { ControlRun { 6, 1, 8 }, ControlRun { 6, 4, 8 }, ControlRun { 6, 16, 8 }, ControlRun { 6, 83, 8 },
+            ControlRun { 24, 4, 8 }, ControlRun { 96, 1, 8 }, ControlRun { 6, 4, 100 }, ControlRun { 6, 4, 1000 } })
+        runControl(run, loss);
+}
+
+struct Workload {
+    std::string name;
+    double factor = 0.9;
+    std::function<std::size_t(VirtualWorld&, double seconds)> chooseHost;
+    std::function<bool(double seconds)> isOn = [](double) { return true; };
+};
+
+auto runLending(LendingStrategy strategy, const Workload& workload) -> double
+{
+    constexpr auto rate = 400.0;
+    constexpr auto burst = 200.0;
+    auto option = WorldOption {};
+    option.seed = 5;
+    option.zones = makeZones(6);
+    option.host.rates.strategy = strategy;
+    auto world = VirtualWorld(option);
+    world.apply(makeConfig(option.zones, 1, rate, burst));
+    world.run(30s);
+    const auto bucket = bucketId(teamBucketName("team-0"));
+    auto window = RateWindow(rate * 1.005, burst);
+    auto ideal = burst;
+    auto idealAdmitted = 0.0;
+    const auto gap = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / (rate * workload.factor)));
+    const auto start = world.events.now();
+    while (world.events.now() - start < 40s) {
+        const auto elapsed = std::chrono::duration<double>(world.events.now() - start).count();
+        ideal = std::min(ideal + rate * std::chrono::duration<double>(gap).count(), burst);
+        if (workload.isOn(elapsed)) {
+            if (ideal >= 1) {
+                ideal -= 1;
+                idealAdmitted += 1;
+            }
+            auto& node = *world.nodes[workload.chooseHost(world, elapsed)];
+            const auto now = node.clock->now();
+            node.host->rates().acquire(bucket, microTokensPerToken, now + 2s, now, [&](RateDecision decision) {
+                if (decision.admitted)
+                    window.add(world.events.now());
+            });
+        }
+        world.run(gap);
+    }
+    world.run(1s);
+    if (window.excess() > 1e-6)
+        std::cout << "over the bound by " << window.excess() << "\n";
+    return std::max(1 - window.total() / idealAdmitted, 0.0) * 100;
+}
+
+auto runLendingTable() -> void
+{
+    const auto anyHost = [](VirtualWorld& world, double) { return world.generator(18); };
+    const auto workloads = std::vector<Workload> {
+        { "even", 0.9, anyHost },
+        { "all on one host", 0.9, [](VirtualWorld&, double) { return 0U; } },
+        { "another zone every 10 s", 0.9,
+            [](VirtualWorld& world, double seconds) {
+                return static_cast<std::size_t>(seconds / 10) * 3 + world.generator(3);
+            } },
+        { "on and off every 2 s", 1.5, anyHost, [](double seconds) { return static_cast<int>(seconds / 2) % 2 == 0; } },
+        { "five times the rate", 5, anyHost },
+    };
+    std::cout << "\nrefused in % of what one ideal bucket admits (rate 400/s, burst 200, 18 hosts in 6 zones)\n";
+    std::cout << std::left << std::setw(26) << "workload" << std::right << std::setw(14) << "static split"
+              << std::setw(14) << "zone loans" << std::setw(14) << "fleet loans"
+              << "\n";
+    for (const auto& workload : workloads) {
+        std::cout << std::left << std::setw(26) << workload.name << std::right;
+        for (const auto strategy : { LendingStrategy::None, LendingStrategy::Zone, LendingStrategy::Fleet })
+            std::cout << std::setw(14) << runLending(strategy, workload);
+        std::cout << "\n";
+    }
+}
+
+} // namespace
+} // namespace citronloft
+
+auto main(int argc, char** argv) -> int
+{
+    namespace po = boost::program_options;
+    auto options = po::options_description("fleet_bench");
+    auto loss = 0.0;
+    options.add_options()("loss", po::value(&loss), "part of the messages that get lost")(
+        "control", "control cost only")("lending", "lending strategies only");
+    auto values = po::variables_map {};
+    po::store(po::parse_command_line(argc, argv, options), values);
+    po::notify(values);
+    std::cout << std::fixed << std::setprecision(2);
+    if (!values.contains("lending"))
+        citronloft::runControlTable(loss);
+    if (!values.contains("control"))
+        citronloft::runLendingTable();
+    return 0;
+}
--- a/include/citronloft/base/result_code.hpp
+++ b/include/citronloft/base/result_code.hpp
@@ -55,6 +55,7 @@
     AnswerTooLarge = 3005,
     CallerGone = 3006,
     PeerLost = 3007,
+    InternalError = 3008,
 };
 
 /// @brief One row of the result table.
--- a/include/citronloft/edge/http_client.hpp
+++ b/include/citronloft/edge/http_client.hpp
@@ -66,6 +66,8 @@
     /// Pooled connections whose last answer is older than this are not used; zero: always a fresh connection.
     Duration reuseWithin = std::chrono::seconds { 20 };
     ExchangeCancel* cancel = nullptr;
+    /// Connections to the address that may be open, idle ones included; at the limit an idle one is closed first.
+    std::size_t connectionLimit = 1000;
 };
 
 /// @brief Limits of the pool.
--- a/include/citronloft/edge/lookup_service.hpp
+++ b/include/citronloft/edge/lookup_service.hpp
@@ -34,7 +34,7 @@
 
 private:
     [[nodiscard]] auto isUp(const std::string& zone) const -> bool { return this->bodies.contains(zone); }
-    auto buildBody(const std::string& zone, TimePoint now) -> void;
+    auto buildBody(const std::string& zone) -> void;
 
     const Membership& membership;
     std::string ownZone;
--- a/include/citronloft/fleet/config_follower.hpp
+++ b/include/citronloft/fleet/config_follower.hpp
@@ -27,19 +27,6 @@
     template <typename Archive> auto serialize(Archive& archive) -> void { archive(this->haveVersion); }
 };
 
-/// @brief Changes from one version to a newer one; `fromVersion` 0 starts from nothing.
-struct ConfigUpdate {
-    std::uint64_t fromVersion = 0;
-    std::uint64_t toVersion = 0;
-    std::string digest;
-    std::vector<RecordChange> changes;
-
-    template <typename Archive> auto serialize(Archive& archive) -> void
-    {
-        archive(this->fromVersion, this->toVersion, this->digest, this->changes);
-    }
-};
-
 /// @brief Fetches configuration from a peer.
 class ConfigFetcher {
 public:
@@ -52,14 +39,18 @@
 
 /// @brief Follows the accepted configuration.
 ///
-/// The zone's delegates watch the manifest in the store. Every other host fetches from a peer whose heartbeat names a
-/// higher version. Only a version greater than the one in force is ever put in force, whatever its source.
+/// The zone's delegates watch the manifest in the store. A host that puts a version in force tells a few peers at once,
+/// and every host fetches from a peer whose heartbeat names a higher version. Only a version greater than the one in
+/// force is ever put in force, whatever its source.
 class ConfigFollower : public std::enable_shared_from_this<ConfigFollower> {
 public:
     using InForce = std::function<void(std::shared_ptr<const ActiveConfig>)>;
 
-    ConfigFollower(const Clock& clock, Membership& membership, std::shared_ptr<ObjectStore> store,
-        std::shared_ptr<ConfigFetcher> fetcher, InForce inForce);
+    ConfigFollower(const Clock& clock, Membership& membership, PeerTransport& transport,
+        std::shared_ptr<ObjectStore> store, std::shared_ptr<ConfigFetcher> fetcher, InForce inForce);
+
+    /// @brief Takes in a peer's notice of a newer version.
+    auto receive(const ConfigNotice& notice, const Address& from, TimePoint now) -> void;
 
     /// @brief Starts watches and fetches that are due.
     auto tick(TimePoint now) -> void;
@@ -80,7 +71,8 @@
     auto startWatch(TimePoint now) -> void;
     auto withManifest(const StoredObject& object) -> void;
     auto loadAll(const ConfigManifest& manifest) -> void;
-    auto startFetch(const HostEntry& peer, TimePoint now) -> void;
+    auto startFetch(const Address& peer, TimePoint now) -> void;
+    auto notifyPeers(std::uint64_t oldVersion) -> void;
     auto apply(const ConfigUpdate& update) -> bool;
     auto putInForce(ConfigRecords newRecords, std::uint64_t version, std::string newDigest,
         std::vector<RecordChange> delta) -> bool;
@@ -88,6 +80,7 @@
 
     const Clock& clock;
     Membership& membership;
+    PeerTransport& transport;
     std::shared_ptr<ObjectStore> store;
     std::shared_ptr<ConfigFetcher> fetcher;
     InForce inForce;
--- a/include/citronloft/fleet/fleet_host.hpp
+++ b/include/citronloft/fleet/fleet_host.hpp
@@ -53,6 +53,7 @@
     [[nodiscard]] auto hasHandedOver() const -> bool;
 
     auto membership() -> Membership& { return this->members; }
+    [[nodiscard]] auto membership() const -> const Membership& { return this->members; }
     auto rates() -> RateLimiter& { return this->limiter; }
     auto claims() -> ClaimRegistry& { return *this->claimRegistry; }
     auto config() -> ConfigFollower& { return *this->follower; }
--- a/include/citronloft/fleet/messages.hpp
+++ b/include/citronloft/fleet/messages.hpp
@@ -3,11 +3,13 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "citronloft/base/address.hpp"
+#include "citronloft/base/config_records.hpp"
 #include "citronloft/policy/host_lifecycle.hpp"
 #include "citronloft/policy/shares.hpp"
 
@@ -23,10 +25,11 @@
     template <typename Archive> auto serialize(Archive& archive) -> void { archive(this->pool, this->freeSlots); }
 };
 
-/// @brief What a host says of itself; only the host itself raises `counter`.
+/// @brief What hosts of a zone know of each other; only the host itself raises `counter` and `revision`.
 struct HostEntry {
     /// Random number of this process's life.
     std::uint64_t incarnation = 0;
+    /// Not sent: the message or summary that holds the entry names the zone.
     std::string zone;
     std::string ip;
     std::uint16_t peerPort = 0;
@@ -35,53 +38,119 @@
     HostState state = HostState::Joining;
     /// Raised with every heartbeat.
     std::uint32_t counter = 0;
+    /// Raised when anything but counter and headroom changes.
+    std::uint32_t revision = 0;
+    /// As of when the host sent it itself.
+    std::vector<PoolHeadroom> headroom;
+
+    [[nodiscard]] auto peerAddress() const -> Address { return { this->ip, this->peerPort }; }
+    [[nodiscard]] auto serviceAddress() const -> Address { return { this->ip, this->servicePort }; }
+
+    template <typename Archive> auto serialize(Archive& archive) -> void
+    {
+        archive(this->incarnation, this->ip, this->peerPort, this->servicePort, this->statusPort, this->state,
+            this->counter, this->revision, this->headroom);
+    }
+};
+
+/// @brief What only the host itself says, and nobody passes on.
+struct HostVitals {
     std::uint64_t configVersion = 0;
-    /// Epoch that this host holds as steward; 0 if it is none.
+    /// Epoch that this host holds as steward with authority; 0 if it is none.
     std::uint32_t stewardEpoch = 0;
     /// Greatest steward epoch of the zone that the host knows.
     std::uint32_t knownEpoch = 0;
     /// Whether the platform answered this host lately.
     bool storeReachable = false;
-    std::vector<PoolHeadroom> headroom;
+    /// Age of the last sign that the host's configuration is the newest.
+    std::uint32_t configAgeMs = 0;
 
-    [[nodiscard]] auto peerAddress() const -> Address { return { this->ip, this->peerPort }; }
-    [[nodiscard]] auto serviceAddress() const -> Address { return { this->ip, this->servicePort }; }
+    template <typename Archive> auto serialize(Archive& archive) -> void
+    {
+        archive(this->configVersion, this->stewardEpoch, this->knownEpoch, this->storeReachable, this->configAgeMs);
+    }
+};
+
+/// @brief The steward with the greatest epoch that the sender has heard of.
+struct StewardClaim {
+    std::uint32_t epoch = 0;
+    std::uint64_t incarnation = 0;
+    Address address;
 
     template <typename Archive> auto serialize(Archive& archive) -> void
     {
-        archive(this->incarnation, this->zone, this->ip, this->peerPort, this->servicePort, this->statusPort,
-            this->state, this->counter, this->configVersion, this->stewardEpoch, this->knownEpoch, this->storeReachable,
-            this->headroom);
+        archive(this->epoch, this->incarnation, this->address);
     }
 };
 
-/// @brief A zone's live hosts as one of its delegates vouches for them.
+/// @brief A zone's live hosts as its publisher vouches for them.
 struct ZoneSummary {
     std::string zone;
-    std::uint64_t publisher = 0;
+    /// Raised with every publication.
     std::uint32_t counter = 0;
+    /// Raised when the hosts change.
+    std::uint32_t revision = 0;
     std::vector<HostEntry> hosts;
 
     template <typename Archive> auto serialize(Archive& archive) -> void
     {
-        archive(this->zone, this->publisher, this->counter, this->hosts);
+        archive(this->zone, this->counter, this->revision, this->hosts);
+    }
+};
+
+/// @brief How much the sender knows of a host (by incarnation) or zone (by zoneId()).
+struct ItemDigest {
+    std::uint64_t id = 0;
+    std::uint32_t counter = 0;
+    std::uint32_t revision = 0;
+
+    template <typename Archive> auto serialize(Archive& archive) -> void
+    {
+        archive(this->id, this->counter, this->revision);
     }
 };
 
-/// @brief Heartbeat: the sender, zone members that it has heard of, and summaries of zones.
+/// @brief Heartbeat with digests of what the sender knows; the receiver answers with what one of them lacks.
 struct GossipMessage {
+    std::string zone;
     HostEntry sender;
-    std::vector<HostEntry> members;
-    std::vector<ZoneSummary> zones;
-    /// Age of the sender's last sign that its configuration is the newest.
-    std::uint32_t configAgeMs = 0;
+    HostVitals vitals;
+    StewardClaim steward;
+    std::vector<ItemDigest> members;
+    std::vector<ItemDigest> zones;
+    std::vector<HostEntry> entries;
+    std::vector<ZoneSummary> summaries;
+    std::vector<std::uint64_t> wantedMembers;
+    std::vector<std::uint64_t> wantedZones;
 
     template <typename Archive> auto serialize(Archive& archive) -> void
     {
-        archive(this->sender, this->members, this->zones, this->configAgeMs);
+        archive(this->zone, this->sender, this->vitals, this->steward, this->members, this->zones, this->entries,
+            this->summaries, this->wantedMembers, this->wantedZones);
     }
 };
 
+/// @brief Changes from one version to a newer one; `fromVersion` 0 starts from nothing.
+struct ConfigUpdate {
+    std::uint64_t fromVersion = 0;
+    std::uint64_t toVersion = 0;
+    std::string digest;
+    std::vector<RecordChange> changes;
+
+    template <typename Archive> auto serialize(Archive& archive) -> void
+    {
+        archive(this->fromVersion, this->toVersion, this->digest, this->changes);
+    }
+};
+
+/// @brief Tells a peer at once of a newer configuration; carries the changes if they are small.
+struct ConfigNotice {
+    std::uint64_t version = 0;
+    std::optional<ConfigUpdate> update;
+
+    template <typename Archive> auto serialize(Archive& archive) -> void { archive(this->version, this->update); }
+};
+
 /// @brief A host asks its zone's steward to confirm its slots.
 struct RenewRequest {
     std::uint64_t incarnation = 0;
@@ -89,10 +158,11 @@
     bool leaving = false;
     /// Slots that the host may use or has lent from; all others it gives up.
     std::vector<SlotRange> held;
+    std::vector<PoolHeadroom> headroom;
 
     template <typename Archive> auto serialize(Archive& archive) -> void
     {
-        archive(this->incarnation, this->sequence, this->leaving, this->held);
+        archive(this->incarnation, this->sequence, this->leaving, this->held, this->headroom);
     }
 };
 
@@ -155,7 +225,7 @@
 };
 
 /// @brief Any message between hosts.
-using PeerMessage = std::variant<GossipMessage, RenewRequest, RenewGrant, LoanAsk, LoanGrant>;
+using PeerMessage = std::variant<GossipMessage, RenewRequest, RenewGrant, LoanAsk, LoanGrant, ConfigNotice>;
 
 /// @brief Sends messages to other hosts; they may be lost, doubled, reordered or late.
 class PeerTransport {
--- a/include/citronloft/fleet/rate_limiter.hpp
+++ b/include/citronloft/fleet/rate_limiter.hpp
@@ -124,6 +124,8 @@
         std::size_t openAsks = 0;
         TimePoint nextAskAt {};
         TimePoint emptyUntil {};
+        /// Whether tick() has something to do for the bucket.
+        bool isActive = false;
     };
 
     struct OpenAsk {
@@ -145,6 +147,7 @@
     auto endHopelessWaits(Bucket& bucket, TimePoint now) -> void;
     auto refuse(Bucket& bucket, const Done& done, std::int64_t amount, bool late, TimePoint now) -> void;
     auto find(std::uint64_t bucket) -> Bucket*;
+    auto activate(Bucket& bucket) -> void;
 
     RateLimiterOption option;
     LeaseTerms terms;
@@ -152,6 +155,7 @@
     const PeerDirectory& peers;
     PeerTransport& transport;
     std::unordered_map<std::uint64_t, std::unique_ptr<Bucket>> buckets;
+    std::vector<Bucket*> active;
     std::vector<SlotRange> slots;
     std::map<std::uint64_t, OpenAsk> openAsks;
     /// Messages under way to each lender in this tick.
--- a/include/citronloft/policy/escrow_bucket.hpp
+++ b/include/citronloft/policy/escrow_bucket.hpp
@@ -70,6 +70,9 @@
     /// @return time until the host's own minting makes `amount` available; the greatest Duration if never.
     auto timeUntil(std::int64_t amount, TimePoint now) -> Duration;
 
+    /// @return whether a loan is held or has to be reported as settled.
+    [[nodiscard]] auto hasBorrowed() const -> bool { return !this->borrowed.empty() || !this->settled.empty(); }
+
     [[nodiscard]] auto share() const -> const BucketShare& { return this->current; }
 
     /// @return micro-tokens of the cap that are reserved for loans.
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -111,7 +111,7 @@
     this->gateway->setConfig(active);
     this->lifecycle->process(HostEvent::ConfigInForce);
     if (this->lifecycle->state() == HostState::Serving)
-        this->fleet->membership().self().state = HostState::Serving;
+        this->fleet->membership().setState(HostState::Serving);
     LogEvent(LogLevel::Info, "config-in-force").with("version", active->version);
 }
 
@@ -146,8 +146,7 @@
 {
     if (std::exchange(this->isFinished, true))
         return;
-    this->fleet->membership().self().state = HostState::Stopped;
-    this->fleet->membership().hasten();
+    this->fleet->membership().setState(HostState::Stopped);
     this->fleet->membership().tick(this->clock.now());
     this->supervisor->stop();
     this->transport->stop();
@@ -186,6 +185,7 @@
 {
     const auto now = this->clock.now();
     const auto& self = this->fleet->membership().self();
+    const auto& vitals = this->fleet->membership().vitals();
     auto pools = nlohmann::json::object();
     for (const auto& [name, admission] : this->gateway->pools()) {
         auto targets = nlohmann::json::array();
@@ -198,7 +198,7 @@
     auto peers = nlohmann::json::array();
     for (const auto& peer : this->fleet->membership().zonePeers())
         peers.push_back({ { "address", formatAddress(peer.peerAddress()) }, { "state", hostStateName(peer.state) },
-            { "config_version", peer.configVersion }, { "status", formatAddress({ peer.ip, peer.statusPort }) } });
+            { "status", formatAddress({ peer.ip, peer.statusPort }) } });
     auto remote = nlohmann::json::array();
     for (const auto& host : this->fleet->membership().remoteHosts())
         remote.push_back({ { "address", formatAddress(host.peerAddress()) }, { "zone", host.zone },
@@ -214,13 +214,13 @@
         { "incarnation", std::to_string(self.incarnation) },
         { "zone", self.zone },
         { "state", hostStateName(this->lifecycle->state()) },
-        { "config_version", self.configVersion },
+        { "config_version", vitals.configVersion },
         { "config_age_ms", age.count() },
-        { "steward_epoch", self.stewardEpoch },
-        { "known_epoch", self.knownEpoch },
+        { "steward_epoch", vitals.stewardEpoch },
+        { "known_epoch", vitals.knownEpoch },
         { "slots", countSlots(this->fleet->shares().usable(now)) },
         { "lease_unconfirmed", this->fleet->shares().isUnconfirmed(now) },
-        { "store_reachable", self.storeReachable },
+        { "store_reachable", vitals.storeReachable },
         { "in_flight", this->gateway->inFlight() },
         { "pools", pools },
         { "zone_peers", peers },
--- a/src/citronloft/base/result_code.cpp
+++ b/src/citronloft/base/result_code.cpp
@@ -44,6 +44,7 @@
     { AnswerTooLarge, "answer-too-large", 502, Ran, "The target's answer is over the limit." },
     { CallerGone, "caller-gone", 499, Unknown, "The caller closed its connection before the answer." },
     { PeerLost, "peer-lost", 502, Unknown, "The connection to the forwarding host was lost." },
+    { InternalError, "internal-error", 500, Unknown, "The host failed while it handled the request." },
 });
 
 } // namespace
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -312,6 +312,7 @@
     const auto startedAt = this->clock.now();
     auto cancel = ExchangeCancel {};
     auto exchangeOption = ExchangeOption { .deadline = call.deadline, .cancel = &cancel };
+    exchangeOption.connectionLimit = admission.targets().connectionLimit(target);
     if (!call.route->idempotent) {
         exchangeOption.reuseWithin = this->option.provedWithin;
     } else if (mayRetry) {
@@ -472,7 +473,7 @@
         const auto room = std::min<std::uint32_t>(admission->headroom(), UINT16_MAX);
         headroom.push_back({ static_cast<std::uint32_t>(bucketId(name)), static_cast<std::uint16_t>(room) });
     }
-    this->fleet.membership().self().headroom = std::move(headroom);
+    this->fleet.membership().setHeadroom(std::move(headroom));
 }
 
 auto Gateway::probeTargets(boost::asio::yield_context yield) -> void
--- a/src/citronloft/edge/http_client.cpp
+++ b/src/citronloft/edge/http_client.cpp
@@ -126,9 +126,25 @@
         return nullptr;
     }
 
+    /// @return whether one more connection may be opened, after closing the oldest idle one if need be.
+    auto makeRoom(const Address& address, std::size_t limit) -> bool
+    {
+        auto& peer = this->peers[address];
+        if (peer.open >= limit && !peer.idle.empty()) {
+            peer.idle.erase(peer.idle.begin());
+            --peer.open;
+        }
+        return peer.open < limit;
+    }
+
     auto connect(const Address& address, const ExchangeOption& exchangeOption, Exchange& result,
         asio::yield_context yield) -> std::unique_ptr<Connection>
     {
+        if (!this->makeRoom(address, exchangeOption.connectionLimit)) {
+            result.error = ExchangeError::ConnectFailed;
+            return nullptr;
+        }
+        ++this->peers[address].open;
         auto connection = std::make_unique<Connection>(this->context);
         auto error = beast::error_code {};
         const auto ip = asio::ip::make_address(address.ip, error);
@@ -139,11 +155,11 @@
         if (error) {
             const auto isTimeout = error == beast::error::timeout;
             result.error = isTimeout ? ExchangeError::ConnectTimeout : ExchangeError::ConnectFailed;
+            --this->peers[address].open;
             return nullptr;
         }
         connection->stream.socket().set_option(Tcp::no_delay(true), error);
         connection->openedAt = this->clock.now();
-        ++this->peers[address].open;
         return connection;
     }
 
--- a/src/citronloft/edge/http_server.cpp
+++ b/src/citronloft/edge/http_server.cpp
@@ -9,6 +9,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "citronloft/base/log.hpp"
+
 namespace citronloft {
 
 namespace {
@@ -236,7 +238,7 @@
         caller->caller = peerOf(*connection);
         connection->stream.expires_never();
         watchCaller(connection, caller);
-        auto response = this->handler(plain, *caller, yield);
+        auto response = this->callHandler(plain, *caller, yield);
         auto ignored = beast::error_code {};
         caller->onGone(nullptr);
         connection->stream.socket().cancel(ignored);
@@ -245,6 +247,19 @@
         return this->write(*connection, std::move(response), isHead, keepAlive, yield);
     }
 
+    /// A handler that throws costs its own request, not the host.
+    auto callHandler(HttpRequest& request, CallerContext& caller, asio::yield_context yield) -> HttpResponse
+    {
+        try {
+            return this->handler(request, caller, yield);
+        } catch (const std::exception& error) {
+            LogEvent(LogLevel::Error, "handler-failed").with("reason", error.what());
+            if (this->option.onRefusal)
+                this->option.onRefusal(ResultCode::InternalError);
+            return problemResponse(ResultCode::InternalError);
+        }
+    }
+
     static auto peerOf(Connection& connection) -> Address
     {
         auto error = beast::error_code {};
--- a/src/citronloft/edge/http_test.cpp
+++ b/src/citronloft/edge/http_test.cpp
@@ -256,6 +256,33 @@
     EXPECT_TRUE(wasGone);
 }
 
+TEST_F(HttpTest, HandlerThatThrowsCostsItsOwnRequestOnly)
+{
+    this->handle = [](HttpRequest& request, CallerContext&, boost::asio::yield_context) -> HttpResponse {
+        if (request.method == "HEAD")
+            throw std::runtime_error("bad");
+        return {};
+    };
+    const auto address = this->startServer();
+    this->run([&](boost::asio::yield_context yield) {
+        EXPECT_EQ(this->get(address, yield, 5s, 10s, "HEAD").response.status, 500U);
+        EXPECT_EQ(this->get(address, yield).response.status, 200U);
+    });
+}
+
+TEST_F(HttpTest, FullPeerGivesAnIdleConnectionUpForAFreshOne)
+{
+    const auto address = this->startServer();
+    this->run([&](boost::asio::yield_context yield) {
+        this->get(address, yield);
+        const auto option = ExchangeOption {
+            .deadline = this->clock.now() + 5s, .reuseWithin = 0s, .cancel = nullptr, .connectionLimit = 1
+        };
+        EXPECT_EQ(this->client->exchange(address, { "GET", "/x", {}, {} }, option, yield).error, ExchangeError::None);
+        EXPECT_EQ(this->client->openConnections(address), 1U);
+    });
+}
+
 TEST_F(HttpTest, ClosingServerFinishesRequestsAndClosesIdleConnections)
 {
     const auto address = this->startServer();
--- a/src/citronloft/edge/lookup_service.cpp
+++ b/src/citronloft/edge/lookup_service.cpp
@@ -33,7 +33,7 @@
         return;
     this->nextBuildAt = now + buildInterval;
     for (const auto& zone : this->zoneNames)
-        this->buildBody(zone, now);
+        this->buildBody(zone);
     this->plan.tick([this](const std::string& zone) { return this->isUp(zone); }, now);
 }
 
@@ -54,10 +54,10 @@
     return response;
 }
 
-auto LookupService::buildBody(const std::string& zone, TimePoint now) -> void
+auto LookupService::buildBody(const std::string& zone) -> void
 {
     auto hosts = nlohmann::json::array();
-    for (const auto& host : this->membership.hostsOf(zone, now)) {
+    for (const auto& host : this->membership.hostsOf(zone)) {
         if (host.state == HostState::Serving)
             hosts.push_back({ { "address", formatAddress(host.serviceAddress()) }, { "weight", 1 } });
     }
--- a/src/citronloft/fleet/config_follower.cpp
+++ b/src/citronloft/fleet/config_follower.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "citronloft/base/codec.hpp"
 #include "citronloft/base/log.hpp"
 #include "citronloft/fleet/config_loader.hpp"
 
@@ -12,15 +13,19 @@
 constexpr auto watchWait = std::chrono::seconds { 10 };
 constexpr auto watchRetryDelay = std::chrono::milliseconds { 300 };
 constexpr auto fetchRetryDelay = std::chrono::milliseconds { 100 };
+constexpr auto noticeFanout = std::size_t { 3 };
+/// A notice carries no more; the peer fetches larger changes.
+constexpr auto greatestNoticeBytes = std::size_t { 1024 };
 /// Deltas kept for peers that are a few versions behind.
 constexpr auto recentLimit = std::size_t { 256 };
 
 } // namespace
 
-ConfigFollower::ConfigFollower(const Clock& clock, Membership& membership, std::shared_ptr<ObjectStore> store,
-    std::shared_ptr<ConfigFetcher> fetcher, InForce inForce)
+ConfigFollower::ConfigFollower(const Clock& clock, Membership& membership, PeerTransport& transport,
+    std::shared_ptr<ObjectStore> store, std::shared_ptr<ConfigFetcher> fetcher, InForce inForce)
     : clock(clock)
     , membership(membership)
+    , transport(transport)
     , store(std::move(store))
     , fetcher(std::move(fetcher))
     , inForce(std::move(inForce))
@@ -38,11 +43,35 @@
         this->startFetch(*peer, now);
 }
 
+auto ConfigFollower::receive(const ConfigNotice& notice, const Address& from, TimePoint now) -> void
+{
+    if (notice.version <= this->version())
+        return;
+    const auto isApplied = notice.update && this->apply(*notice.update);
+    if (!isApplied && !this->isFetching)
+        this->startFetch(from, now);
+}
+
+/// Each host that puts a version in force tells a few others, so that it spreads like an epidemic; heartbeats reach
+/// those that no notice reached.
+auto ConfigFollower::notifyPeers(std::uint64_t oldVersion) -> void
+{
+    auto notice = ConfigNotice { this->version(), std::nullopt };
+    auto update = this->serve({ oldVersion });
+    if (oldVersion > 0 && update.ok() && encode(*update).size() <= greatestNoticeBytes)
+        notice.update = *std::move(update);
+    for (const auto& peer : this->membership.peersToNotify(noticeFanout))
+        this->transport.send(peer, notice);
+}
+
 auto ConfigFollower::notePeer(const GossipMessage& message, TimePoint now) -> void
 {
-    if (message.sender.configVersion != this->version() || !this->current)
+    // A sender that is behind is told at once; it would hear of it from somebody else a second later.
+    if (message.zone == this->membership.self().zone && message.vitals.configVersion < this->version())
+        this->transport.send(message.sender.peerAddress(), ConfigNotice { this->version(), std::nullopt });
+    if (message.vitals.configVersion != this->version() || !this->current)
         return;
-    const auto peerFreshAt = now - std::chrono::milliseconds { message.configAgeMs };
+    const auto peerFreshAt = now - std::chrono::milliseconds { message.vitals.configAgeMs };
     this->freshAt = std::max<TimePoint>(this->freshAt, peerFreshAt);
 }
 
@@ -117,16 +146,15 @@
         });
 }
 
-auto ConfigFollower::startFetch(const HostEntry& peer, TimePoint now) -> void
+auto ConfigFollower::startFetch(const Address& peer, TimePoint now) -> void
 {
     this->isFetching = true;
     this->nextFetchAt = now + fetchRetryDelay;
-    this->fetcher->fetch(
-        peer.peerAddress(), { this->version() }, [self = this->shared_from_this()](const auto& update) {
-            self->isFetching = false;
-            if (update.ok())
-                self->apply(*update);
-        });
+    this->fetcher->fetch(peer, { this->version() }, [self = this->shared_from_this()](const auto& update) {
+        self->isFetching = false;
+        if (update.ok())
+            self->apply(*update);
+    });
 }
 
 /// @return whether the update's version is in force now.
@@ -155,6 +183,7 @@
         LogEvent(LogLevel::Error, "config-invalid").with("version", version).with("reason", config.status().ToString());
         return false;
     }
+    const auto oldVersion = this->version();
     if (delta.empty())
         this->recent.clear();
     else
@@ -164,8 +193,8 @@
     this->records = std::move(newRecords);
     this->digest = std::move(newDigest);
     this->current = std::make_shared<const ActiveConfig>(ActiveConfig { version, *std::move(config) });
-    this->membership.self().configVersion = version;
-    this->membership.hasten();
+    this->membership.vitals().configVersion = version;
+    this->notifyPeers(oldVersion);
     this->inForce(this->current);
     return true;
 }
--- a/src/citronloft/fleet/fleet_host.cpp
+++ b/src/citronloft/fleet/fleet_host.cpp
@@ -50,8 +50,8 @@
     , claimRegistry(std::make_shared<ClaimRegistry>(surroundings.store))
     , inForce(std::move(inForce))
 {
-    this->follower = std::make_shared<ConfigFollower>(surroundings.clock, this->members, surroundings.store,
-        surroundings.fetcher, [this](const auto& active) { this->putInForce(active); });
+    this->follower = std::make_shared<ConfigFollower>(surroundings.clock, this->members, surroundings.transport,
+        surroundings.store, surroundings.fetcher, [this](const auto& active) { this->putInForce(active); });
     this->members.setConfigAge([this] { return this->follower->age(this->surroundings.clock.now()); });
 }
 
@@ -60,10 +60,10 @@
 auto FleetHost::tick() -> void
 {
     const auto now = this->surroundings.clock.now();
-    auto& self = this->members.self();
+    auto& vitals = this->members.vitals();
     const auto answeredAt = this->zoneSteward->storeAnsweredAt();
-    self.storeReachable = answeredAt != TimePoint {} && now - answeredAt < storeReachableFor;
-    self.knownEpoch = this->holder->knownEpoch();
+    vitals.storeReachable = answeredAt != TimePoint {} && now - answeredAt < storeReachableFor;
+    vitals.knownEpoch = this->holder->knownEpoch();
     this->members.tick(now);
     this->zoneSteward->tick(now);
     this->holder->tick(now);
@@ -89,6 +89,8 @@
         this->limiter.receive(*ask, from, now);
     } else if (const auto* loan = std::get_if<LoanGrant>(&message)) {
         this->limiter.receive(*loan, now);
+    } else if (const auto* notice = std::get_if<ConfigNotice>(&message)) {
+        this->follower->receive(*notice, from, now);
     }
 }
 
@@ -96,8 +98,7 @@
 {
     this->holder->leave();
     this->zoneSteward->leave();
-    this->members.self().state = HostState::Leaving;
-    this->members.hasten();
+    this->members.setState(HostState::Leaving);
 }
 
 auto FleetHost::hasHandedOver() const -> bool
--- a/src/citronloft/fleet/fleet_host_test.cpp
+++ b/src/citronloft/fleet/fleet_host_test.cpp
@@ -165,8 +165,9 @@
 
     auto isReady() -> bool
     {
-        return allZonesFull(*this->world, this->zones)
-            && std::ranges::all_of(this->world->nodes, [](auto& node) { return !node->versions.empty(); });
+        return allZonesFull(*this->world, this->zones) && std::ranges::all_of(this->world->nodes, [](auto& node) {
+            return !node->versions.empty() && slotsOf(*node) >= slotsPerZone / 3 - 2;
+        });
     }
 
     auto randomHost() -> std::size_t
@@ -185,6 +186,17 @@
         EXPECT_NEAR(static_cast<double>(slotsOf(*node)), slotsPerZone / 3.0, 2);
 }
 
+/// Found by campaign seed 123: a slot that was given up while the steward's own update was under way was forgotten,
+/// each time anew, since both happened in the same tick.
+TEST_F(FleetHostTest, SlotsSettleWhateverTheOrderOfStart)
+{
+    for (auto seed = std::uint64_t { 120 }; seed < 130; ++seed) {
+        auto option = WorldOption {};
+        option.seed = seed;
+        this->start(option, 100, 50);
+    }
+}
+
 TEST_F(FleetHostTest, CrashedHostsSlotsGoToTheOthers)
 {
     this->start({}, 100, 50);
--- a/src/citronloft/fleet/membership.cpp
+++ b/src/citronloft/fleet/membership.cpp
@@ -1,6 +1,7 @@
 #include "citronloft/fleet/membership.hpp"
 
 #include <algorithm>
+#include <bit>
 
 namespace citronloft {
 
@@ -8,16 +9,48 @@
 
 /// Greatest age of the lists of live hosts.
 constexpr auto viewInterval = std::chrono::milliseconds { 100 };
+constexpr auto suspectPerDoubling = std::chrono::milliseconds { 500 };
+constexpr auto zoneRemovePerDoubling = std::chrono::seconds { 2 };
+/// Entries and summaries of one answer; the rest comes with later heartbeats.
+constexpr auto greatestAnswerItems = std::size_t { 40 };
+constexpr auto greatestSeeds = std::size_t { 64 };
 
 auto isLive(const HostEntry& entry) -> bool { return entry.state != HostState::Stopped; }
 
-template <typename Item> auto shuffle(std::vector<Item>& items, pcg32& random) -> void
+auto doublings(std::size_t count) -> int { return static_cast<int>(std::bit_width(count)); }
+
+/// Headroom matters to other zones only by its order of magnitude.
+auto coarseHeadroom(const std::vector<PoolHeadroom>& headroom) -> std::vector<std::uint16_t>
+{
+    auto coarse = std::vector<std::uint16_t> {};
+    for (const auto& pool : headroom)
+        coarse.push_back(static_cast<std::uint16_t>(std::bit_width(pool.freeSlots)));
+    return coarse;
+}
+
+auto isSameHost(const HostEntry& left, const HostEntry& right) -> bool
+{
+    return left.incarnation == right.incarnation && left.revision == right.revision
+        && coarseHeadroom(left.headroom) == coarseHeadroom(right.headroom);
+}
+
+/// A random subset of at most `limit` digests.
+template <typename Items> auto sampleDigests(const Items& items, std::size_t limit, pcg32& random)
 {
-    std::ranges::shuffle(items, random);
+    auto digests = std::vector<ItemDigest> {};
+    for (const auto& [id, item] : items)
+        digests.push_back(item);
+    if (digests.size() <= limit)
+        return digests;
+    std::ranges::shuffle(digests, random);
+    digests.resize(limit);
+    return digests;
 }
 
 } // namespace
 
+auto zoneId(const std::string& zone) -> std::uint64_t { return bucketId(zone); }
+
 Membership::Membership(MembershipOption option, HostEntry self, PeerTransport& transport, std::uint64_t seed)
     : option(std::move(option))
     , own(std::move(self))
@@ -31,205 +64,307 @@
 {
     this->refreshViews(now);
     if (now >= this->nextGossipAt) {
-        this->nextGossipAt = now + this->option.gossipInterval;
+        if (this->startedAt == TimePoint {})
+            this->startedAt = now;
+        const auto isYoung = now - this->startedAt < this->option.startTime;
+        this->nextGossipAt = now + (isYoung ? this->option.startInterval : this->option.gossipInterval);
         ++this->own.counter;
         this->forgetSilent(now);
         this->gossip(now);
     }
-    if (now >= this->nextDelegateAt) {
-        this->nextDelegateAt = now + this->option.delegateInterval;
-        if (this->isDelegate())
-            this->gossipBetweenZones(now);
+    if (now >= this->nextPublishAt) {
+        this->nextPublishAt = now + this->option.publishInterval;
+        if (this->isPublisher())
+            this->publish(now);
     }
 }
 
 auto Membership::receive(const GossipMessage& message, TimePoint now) -> void
 {
-    if (message.sender.zone == this->own.zone) {
-        this->mergeMember(message.sender, now);
-        for (const auto& entry : message.members)
+    this->noteSender(message, now);
+    const auto isOwnZone = message.zone == this->own.zone;
+    if (isOwnZone) {
+        for (const auto& entry : message.entries)
             this->mergeMember(entry, now);
     }
-    for (const auto& summary : message.zones)
+    for (const auto& summary : message.summaries)
         this->mergeSummary(summary, now);
+    auto answer = this->header();
+    if (isOwnZone)
+        this->compareMembers(message, answer, now);
+    this->compareZones(message, answer, now);
+    this->addWanted(message, answer);
+    const auto hasContent = !answer.entries.empty() || !answer.summaries.empty() || !answer.wantedMembers.empty()
+        || !answer.wantedZones.empty();
+    if (hasContent)
+        this->transport.send(message.sender.peerAddress(), answer);
     this->refreshViews(now);
 }
 
-/// Rebuilds the lists of live hosts when something was heard, and often enough to notice silence.
-auto Membership::refreshViews(TimePoint now) -> void
+auto Membership::setState(HostState state) -> void
 {
-    if (!this->isViewStale && now - this->viewedAt < viewInterval)
+    if (this->own.state == state)
         return;
-    this->isViewStale = false;
-    this->viewedAt = now;
-    this->livePeers.clear();
-    for (const auto& [incarnation, member] : this->members) {
-        if (isLive(member.entry) && now - member.heardAt < this->option.suspectAfter)
-            this->livePeers.push_back(member.entry);
-    }
-    this->liveRemote.clear();
-    for (const auto& [zone, publishers] : this->summaries) {
-        if (const auto* newest = this->newestSummary(zone, now))
-            std::ranges::copy_if(newest->summary.hosts, std::back_inserter(this->liveRemote), isLive);
-    }
+    this->own.state = state;
+    ++this->own.revision;
+    this->hasten();
+}
+
+auto Membership::noteHeadroom(std::uint64_t incarnation, std::vector<PoolHeadroom> headroom) -> void
+{
+    const auto member = this->members.find(incarnation);
+    if (member != this->members.end())
+        member->second.entry.headroom = std::move(headroom);
+}
+
+auto Membership::addSeed(const Address& seed) -> void
+{
+    if (std::ranges::find(this->option.seeds, seed) != this->option.seeds.end())
+        return;
+    this->option.seeds.push_back(seed);
+    if (this->option.seeds.size() > greatestSeeds)
+        this->option.seeds.erase(this->option.seeds.begin());
 }
 
-auto Membership::hostsOf(const std::string& zone, TimePoint now) const -> std::vector<HostEntry>
+auto Membership::hostsOf(const std::string& zone) const -> std::vector<HostEntry>
 {
+    auto hosts = std::vector<HostEntry> {};
     if (zone == this->own.zone) {
-        auto hosts = this->livePeers;
+        hosts = this->livePeers;
         hosts.push_back(this->own);
         return hosts;
     }
-    auto hosts = std::vector<HostEntry> {};
-    if (const auto* newest = this->newestSummary(zone, now))
-        std::ranges::copy_if(newest->summary.hosts, std::back_inserter(hosts), isLive);
+    std::ranges::copy_if(
+        this->liveRemote, std::back_inserter(hosts), [&](const HostEntry& host) { return host.zone == zone; });
     return hosts;
 }
 
-auto Membership::isDelegate() const -> bool
+auto Membership::randomPeers(std::size_t count) -> std::vector<Address>
 {
-    const auto lower = std::ranges::count_if(
-        this->livePeers, [&](const HostEntry& peer) { return peer.incarnation < this->own.incarnation; });
-    return static_cast<std::size_t>(lower) < this->option.delegates;
+    auto peers = std::vector<Address> {};
+    for (const auto& peer : this->livePeers)
+        peers.push_back(peer.peerAddress());
+    std::ranges::shuffle(peers, this->random);
+    peers.resize(std::min(peers.size(), count));
+    return peers;
 }
 
-auto Membership::steward() const -> std::optional<HostEntry>
+auto Membership::peersToNotify(std::size_t count) -> std::vector<Address>
 {
-    const auto* greatest = &this->own;
-    for (const auto& peer : this->livePeers) {
-        if (peer.stewardEpoch > greatest->stewardEpoch)
-            greatest = &peer;
-    }
-    return greatest->stewardEpoch == 0 ? std::nullopt : std::optional { *greatest };
+    auto peers = this->randomPeers(count);
+    if (this->livePeers.empty())
+        return peers;
+    // Live peers are in order of their incarnations; the last one's successor is the first.
+    const auto next = std::ranges::upper_bound(this->livePeers, this->own.incarnation, {}, &HostEntry::incarnation);
+    const auto successor = (next == this->livePeers.end() ? this->livePeers.front() : *next).peerAddress();
+    if (std::ranges::find(peers, successor) == peers.end())
+        peers.push_back(successor);
+    return peers;
 }
 
-auto Membership::hostWithNewerConfig(std::uint64_t version) const -> std::optional<HostEntry>
+auto Membership::isDelegate() const -> bool { return this->isPublisher() || this->hasLowestIncarnation(); }
+
+auto Membership::steward() const -> std::optional<StewardClaim>
 {
-    for (const auto* candidates : { &this->livePeers, &this->liveRemote }) {
-        const auto newest = std::ranges::max_element(*candidates, {}, &HostEntry::configVersion);
-        if (newest != candidates->end() && newest->configVersion > version)
-            return *newest;
-    }
-    return std::nullopt;
+    if (this->claim.epoch == 0)
+        return std::nullopt;
+    const auto isSelf = this->claim.incarnation == this->own.incarnation;
+    const auto found = std::ranges::find(this->livePeers, this->claim.incarnation, &HostEntry::incarnation);
+    if (!isSelf && found == this->livePeers.end())
+        return std::nullopt;
+    return this->claim;
 }
 
-auto Membership::mergeMember(const HostEntry& entry, TimePoint now) -> void
+auto Membership::hostWithNewerConfig(std::uint64_t version) const -> std::optional<Address>
 {
-    if (entry.incarnation == this->own.incarnation || entry.zone != this->own.zone)
+    if (this->newestConfig.version <= version)
+        return std::nullopt;
+    return this->newestConfig.address;
+}
+
+auto Membership::noteSender(const GossipMessage& message, TimePoint now) -> void
+{
+    const auto& vitals = message.vitals;
+    if (vitals.configVersion >= this->newestConfig.version)
+        this->newestConfig = { vitals.configVersion, message.sender.peerAddress() };
+    if (message.zone != this->own.zone)
         return;
-    this->highestEpoch = std::max({ this->highestEpoch, entry.stewardEpoch, entry.knownEpoch });
+    this->mergeMember(message.sender, now);
+    this->highestEpoch
+        = std::max({ this->highestEpoch, vitals.stewardEpoch, vitals.knownEpoch, message.steward.epoch });
+    if (message.steward.epoch > this->claim.epoch)
+        this->claim = message.steward;
+    if (vitals.stewardEpoch > this->claim.epoch)
+        this->claim = { vitals.stewardEpoch, message.sender.incarnation, message.sender.peerAddress() };
+}
+
+auto Membership::mergeMember(HostEntry entry, TimePoint now) -> void
+{
+    if (entry.incarnation == this->own.incarnation)
+        return;
+    entry.zone = this->own.zone;
     auto [place, isNew] = this->members.try_emplace(entry.incarnation, Member { entry, now });
     this->isViewStale |= isNew;
-    if (isNew || entry.counter <= place->second.entry.counter)
+    auto& known = place->second;
+    if (isNew || (entry.counter <= known.entry.counter && entry.revision <= known.entry.revision))
         return;
-    place->second = { entry, now };
+    if (entry.counter > known.entry.counter)
+        known.heardAt = now;
+    if (entry.revision >= known.entry.revision) {
+        entry.counter = std::max(entry.counter, known.entry.counter);
+        known.entry = std::move(entry);
+    }
     this->isViewStale = true;
 }
 
 auto Membership::mergeSummary(const ZoneSummary& summary, TimePoint now) -> void
 {
-    if (summary.zone == this->own.zone)
-        return;
-    auto [place, isNew] = this->summaries[summary.zone].try_emplace(summary.publisher, Summary { summary, now });
+    auto [place, isNew] = this->zones.try_emplace(zoneId(summary.zone), Zone { summary, now });
     this->isViewStale |= isNew;
-    if (isNew || summary.counter <= place->second.summary.counter)
+    auto& known = place->second;
+    if (isNew || (summary.counter <= known.summary.counter && summary.revision <= known.summary.revision))
         return;
-    place->second = { summary, now };
+    if (summary.counter > known.summary.counter)
+        known.heardAt = now;
+    if (summary.revision >= known.summary.revision) {
+        const auto counter = std::max(summary.counter, known.summary.counter);
+        known.summary = summary;
+        known.summary.counter = counter;
+    }
     this->isViewStale = true;
 }
 
-auto Membership::forgetSilent(TimePoint now) -> void
+/// Takes counters over, asks for what this host lacks, and adds what the sender lacks.
+auto Membership::compareMembers(const GossipMessage& message, GossipMessage& answer, TimePoint now) -> void
 {
-    // Entries stay for a while after removal, so that late gossip of an old counter can't bring them back.
-    constexpr auto rememberFactor = 6;
-    const auto memberLimit = this->option.removeAfter * rememberFactor;
-    std::erase_if(this->members, [&](const auto& item) { return now - item.second.heardAt > memberLimit; });
-    const auto summaryLimit = this->option.zoneRemoveAfter * rememberFactor;
-    for (auto& [zone, publishers] : this->summaries)
-        std::erase_if(publishers, [&](const auto& item) { return now - item.second.heardAt > summaryLimit; });
+    for (const auto& digest : message.members) {
+        if (digest.id == this->own.incarnation)
+            continue;
+        const auto found = this->members.find(digest.id);
+        if (found == this->members.end() || digest.revision > found->second.entry.revision) {
+            answer.wantedMembers.push_back(digest.id);
+            continue;
+        }
+        auto& known = found->second;
+        if (digest.revision < known.entry.revision)
+            answer.entries.push_back(known.entry);
+        if (digest.counter <= known.entry.counter)
+            continue;
+        known.entry.counter = digest.counter;
+        known.heardAt = now;
+        this->isViewStale = true;
+    }
 }
 
-auto Membership::gossip(TimePoint now) -> void
+auto Membership::compareZones(const GossipMessage& message, GossipMessage& answer, TimePoint now) -> void
 {
-    auto peers = this->livePeers;
-    shuffle(peers, this->random);
-    const auto outgoing = this->message(now, true, false);
-    for (auto i = std::size_t { 0 }; i < std::min(this->option.gossipFanout, peers.size()); ++i)
-        this->transport.send(peers[i].peerAddress(), outgoing);
-    this->greetSeeds(now);
-    this->greetSilentMember(now);
+    for (const auto& digest : message.zones) {
+        const auto found = this->zones.find(digest.id);
+        if (found == this->zones.end() || digest.revision > found->second.summary.revision) {
+            answer.wantedZones.push_back(digest.id);
+            continue;
+        }
+        auto& known = found->second;
+        if (digest.revision < known.summary.revision && answer.summaries.size() < greatestAnswerItems)
+            answer.summaries.push_back(known.summary);
+        if (digest.counter <= known.summary.counter)
+            continue;
+        known.summary.counter = digest.counter;
+        known.heardAt = now;
+        this->isViewStale = true;
+    }
+}
+
+auto Membership::addWanted(const GossipMessage& message, GossipMessage& answer) const -> void
+{
+    for (const auto id : message.wantedMembers) {
+        const auto found = this->members.find(id);
+        if (found != this->members.end() && answer.entries.size() < greatestAnswerItems)
+            answer.entries.push_back(found->second.entry);
+    }
+    for (const auto id : message.wantedZones) {
+        const auto found = this->zones.find(id);
+        if (found != this->zones.end() && answer.summaries.size() < greatestAnswerItems)
+            answer.summaries.push_back(found->second.summary);
+    }
 }
 
-auto Membership::gossipBetweenZones(TimePoint now) -> void
+auto Membership::forgetSilent(TimePoint now) -> void
 {
-    auto hosts = this->liveRemote;
-    shuffle(hosts, this->random);
-    const auto outgoing = this->message(now, false, true);
-    for (auto i = std::size_t { 0 }; i < std::min(this->option.gossipFanout, hosts.size()); ++i)
-        this->transport.send(hosts[i].peerAddress(), outgoing);
+    const auto memberLimit = this->suspectLimit() * this->option.rememberFactor;
+    std::erase_if(this->members, [&](const auto& item) { return now - item.second.heardAt > memberLimit; });
+    const auto zoneLimit = this->zoneLimit() * this->option.rememberFactor;
+    std::erase_if(this->zones, [&](const auto& item) { return now - item.second.heardAt > zoneLimit; });
 }
 
-auto Membership::greetSeeds(TimePoint now) -> void
+/// Rebuilds the lists of live hosts when something was heard, and often enough to notice silence.
+auto Membership::refreshViews(TimePoint now) -> void
 {
-    auto unknown = std::vector<Address> {};
-    std::ranges::copy_if(this->option.seeds, std::back_inserter(unknown),
-        [&](const Address& seed) { return !this->isLiveAddress(seed); });
-    if (unknown.empty())
+    if (now - this->viewedAt < (this->isViewStale ? viewInterval / 5 : viewInterval))
         return;
-    shuffle(unknown, this->random);
-    unknown.resize(std::min(unknown.size(), this->option.gossipFanout));
-    // The zone of an unknown host is unknown too, so it gets everything.
-    const auto greeting = this->message(now, true, true);
-    for (const auto& seed : unknown)
-        this->transport.send(seed, greeting);
-}
-
-auto Membership::message(TimePoint now, bool withMembers, bool withOwnZone) -> GossipMessage
-{
-    auto outgoing = GossipMessage {};
-    outgoing.sender = this->own;
-    outgoing.configAgeMs = static_cast<std::uint32_t>(std::min<std::int64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(this->configAge()).count(), UINT32_MAX));
-    if (withMembers) {
-        outgoing.members = this->livePeers;
-        shuffle(outgoing.members, this->random);
-        outgoing.members.resize(std::min(outgoing.members.size(), this->option.membersPerMessage));
+    this->isViewStale = false;
+    this->viewedAt = now;
+    const auto suspectAfter = this->suspectLimit();
+    this->livePeers.clear();
+    for (const auto& [incarnation, member] : this->members) {
+        if (isLive(member.entry) && now - member.heardAt < suspectAfter)
+            this->livePeers.push_back(member.entry);
     }
-    if (withOwnZone)
-        outgoing.zones.push_back(this->ownSummary());
-    auto others = std::vector<const Summary*> {};
-    for (const auto& [zone, publishers] : this->summaries) {
-        if (const auto* newest = this->newestSummary(zone, now))
-            others.push_back(newest);
+    const auto removeAfter = this->zoneLimit();
+    this->liveRemote.clear();
+    for (const auto& [id, zone] : this->zones) {
+        if (zone.summary.zone == this->own.zone || now - zone.heardAt >= removeAfter)
+            continue;
+        for (auto host : zone.summary.hosts) {
+            host.zone = zone.summary.zone;
+            this->liveRemote.push_back(std::move(host));
+        }
     }
-    const auto count = std::min(others.size(), this->option.summariesPerMessage);
-    for (auto i = std::size_t { 0 }; i < count; ++i)
-        outgoing.zones.push_back(others[(this->summaryCursor + i) % others.size()]->summary);
-    this->summaryCursor += count;
-    return outgoing;
 }
 
-auto Membership::ownSummary() -> ZoneSummary
+auto Membership::gossip(TimePoint now) -> void
 {
-    auto summary = ZoneSummary { this->own.zone, this->own.incarnation, this->own.counter, {} };
-    summary.hosts = this->livePeers;
-    summary.hosts.push_back(this->own);
-    shuffle(summary.hosts, this->random);
-    summary.hosts.resize(std::min(summary.hosts.size(), this->option.hostsPerSummary));
-    return summary;
+    this->ownVitals.configAgeMs = static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(this->configAge()).count(), 0, UINT32_MAX));
+    const auto message = this->heartbeat(this->option.memberDigests, this->option.zoneDigests);
+    for (const auto& peer : this->randomPeers(this->option.gossipFanout))
+        this->transport.send(peer, message);
+    this->greetSeeds();
+    this->greetSilentMember(now);
 }
 
-auto Membership::newestSummary(const std::string& zone, TimePoint now) const -> const Summary*
+/// Publishes the zone's summary to its own hosts by gossip, and to a few hosts of other zones.
+auto Membership::publish(TimePoint now) -> void
 {
-    const auto publishers = this->summaries.find(zone);
-    if (publishers == this->summaries.end())
-        return nullptr;
-    const auto newest
-        = std::ranges::max_element(publishers->second, {}, [](const auto& item) { return item.second.heardAt; });
-    if (newest == publishers->second.end() || now - newest->second.heardAt > this->option.zoneRemoveAfter)
-        return nullptr;
-    return &newest->second;
+    auto hosts = this->makeOwnSummary();
+    auto& known = this->zones[zoneId(this->own.zone)];
+    known.heardAt = now;
+    known.summary.zone = this->own.zone;
+    ++known.summary.counter;
+    if (!std::ranges::equal(hosts, known.summary.hosts, isSameHost)) {
+        ++known.summary.revision;
+        known.summary.hosts = std::move(hosts);
+    }
+    auto remote = std::vector<Address> {};
+    for (const auto& host : this->liveRemote)
+        remote.push_back(host.peerAddress());
+    std::ranges::shuffle(remote, this->random);
+    remote.resize(std::min<std::size_t>(remote.size(), 2));
+    const auto message = this->heartbeat(0, this->zones.size());
+    for (const auto& address : remote)
+        this->transport.send(address, message);
+}
+
+/// A seed's zone is unknown until it answers, so the message holds everything that either zone could use.
+auto Membership::greetSeeds() -> void
+{
+    auto unknown = std::vector<Address> {};
+    std::ranges::copy_if(this->option.seeds, std::back_inserter(unknown),
+        [&](const Address& seed) { return !this->isLiveAddress(seed); });
+    if (unknown.empty())
+        return;
+    const auto& seed = unknown[this->random(static_cast<std::uint32_t>(unknown.size()))];
+    this->transport.send(seed, this->heartbeat(this->option.memberDigests, this->zones.size()));
 }
 
 /// Two sides that each took the other for gone find each other again only if one of them still tries.
@@ -237,23 +372,59 @@
 {
     auto silent = std::vector<Address> {};
     for (const auto& [incarnation, member] : this->members) {
-        if (isLive(member.entry) && now - member.heardAt >= this->option.suspectAfter)
+        if (isLive(member.entry) && now - member.heardAt >= this->suspectLimit())
             silent.push_back(member.entry.peerAddress());
     }
     if (silent.empty())
         return;
     const auto chosen = this->random(static_cast<std::uint32_t>(silent.size()));
-    this->transport.send(silent[chosen], this->message(now, true, false));
+    this->transport.send(silent[chosen], this->heartbeat(this->option.memberDigests, this->option.zoneDigests));
 }
 
-auto Membership::addSeed(const Address& seed) -> void
+auto Membership::heartbeat(std::size_t memberDigests, std::size_t zoneDigests) -> GossipMessage
 {
-    constexpr auto greatestSeeds = std::size_t { 64 };
-    if (std::ranges::find(this->option.seeds, seed) != this->option.seeds.end())
-        return;
-    this->option.seeds.push_back(seed);
-    if (this->option.seeds.size() > greatestSeeds)
-        this->option.seeds.erase(this->option.seeds.begin());
+    auto message = this->header();
+    auto members = std::map<std::uint64_t, ItemDigest> {};
+    for (const auto& peer : this->livePeers)
+        members[peer.incarnation] = { peer.incarnation, peer.counter, peer.revision };
+    auto zoneItems = std::map<std::uint64_t, ItemDigest> {};
+    for (const auto& [id, zone] : this->zones)
+        zoneItems[id] = { id, zone.summary.counter, zone.summary.revision };
+    message.members = sampleDigests(members, memberDigests, this->random);
+    message.zones = sampleDigests(zoneItems, zoneDigests, this->random);
+    return message;
+}
+
+auto Membership::header() const -> GossipMessage
+{
+    auto message = GossipMessage {};
+    message.zone = this->own.zone;
+    message.sender = this->own;
+    message.vitals = this->ownVitals;
+    message.steward = this->claim;
+    return message;
+}
+
+/// The same hosts as long as they live: those with the lowest hashed incarnations.
+auto Membership::makeOwnSummary() const -> std::vector<HostEntry>
+{
+    auto hosts = this->hostsOf(this->own.zone);
+    std::ranges::sort(hosts, {}, [](const HostEntry& host) { return host.incarnation * 0x9e3779b97f4a7c15ULL; });
+    hosts.resize(std::min(hosts.size(), this->option.hostsPerSummary));
+    return hosts;
+}
+
+auto Membership::isPublisher() const -> bool
+{
+    if (const auto present = this->steward())
+        return present->incarnation == this->own.incarnation;
+    return this->hasLowestIncarnation();
+}
+
+auto Membership::hasLowestIncarnation() const -> bool
+{
+    return std::ranges::none_of(
+        this->livePeers, [&](const HostEntry& peer) { return peer.incarnation < this->own.incarnation; });
 }
 
 auto Membership::isLiveAddress(const Address& address) const -> bool
@@ -263,4 +434,15 @@
         || std::ranges::any_of(this->liveRemote, isSame);
 }
 
+auto Membership::suspectLimit() const -> Duration
+{
+    return this->option.suspectAfter + suspectPerDoubling * doublings(this->members.size());
+}
+
+auto Membership::zoneLimit() const -> Duration
+{
+    return this->option.zoneRemoveAfter + zoneRemovePerDoubling * doublings(this->zones.size())
+        + suspectPerDoubling * doublings(this->members.size());
+}
+
 } // namespace citronloft
--- a/src/citronloft/fleet/rate_limiter.cpp
+++ b/src/citronloft/fleet/rate_limiter.cpp
@@ -11,6 +11,8 @@
 constexpr auto demandTimeConstant = std::chrono::milliseconds { 200 };
 /// Asked beyond the need, since some lenders have less than their part of it.
 constexpr auto askSurplus = 1.5;
+/// Micro-tokens per second below which a bucket counts as idle.
+constexpr auto leastDemand = 1000.0;
 constexpr auto leastRetryAfter = std::chrono::milliseconds { 100 };
 constexpr auto greatestRetryAfter = std::chrono::seconds { 10 };
 
@@ -41,6 +43,11 @@
         kept.insert_or_assign(spec.id, std::move(bucket));
     }
     std::swap(this->buckets, kept);
+    this->active.clear();
+    for (auto& [id, bucket] : this->buckets) {
+        bucket->isActive = false;
+        this->activate(*bucket);
+    }
     for (auto& [id, removed] : kept) {
         if (!removed)
             continue;
@@ -67,6 +74,7 @@
         return 0;
     }
     bucket->demandSinceTick += amount;
+    this->activate(*bucket);
     if (bucket->waiting.empty() && bucket->escrow.take(amount, now)) {
         ++this->counts.admittedAtOnce;
         done({ .admitted = true, .waited = false, .retryAfter = {} });
@@ -93,12 +101,13 @@
     if (bucket == nullptr)
         return false;
     bucket->demandSinceTick += amount;
+    this->activate(*bucket);
     return bucket->escrow.take(amount, now);
 }
 
 auto RateLimiter::cancel(std::uint64_t id) -> void
 {
-    for (auto& [bucketId, bucket] : this->buckets)
+    for (auto* bucket : this->active)
         std::erase_if(bucket->waiting, [&](const Waiting& waiting) { return waiting.id == id; });
 }
 
@@ -107,16 +116,26 @@
     const auto elapsed = this->lastTickAt == TimePoint {} ? Duration::zero() : now - this->lastTickAt;
     this->lastTickAt = now;
     this->expireAsks(now);
-    for (auto& [id, bucket] : this->buckets) {
+    for (auto* bucket : this->active) {
         this->updateDemand(*bucket, elapsed);
         this->serveWaiting(*bucket, now);
         this->askFor(*bucket, now);
         this->endHopelessWaits(*bucket, now);
         this->collectSettlements(*bucket, now);
+        const auto isIdle = bucket->demand < leastDemand && bucket->waiting.empty() && bucket->openAsks == 0
+            && !bucket->escrow.hasBorrowed();
+        bucket->isActive = !isIdle;
     }
+    std::erase_if(this->active, [](const Bucket* bucket) { return !bucket->isActive; });
     this->sendAsks(now);
 }
 
+auto RateLimiter::activate(Bucket& bucket) -> void
+{
+    if (!std::exchange(bucket.isActive, true))
+        this->active.push_back(&bucket);
+}
+
 auto RateLimiter::receive(const LoanAsk& ask, const Address& from, TimePoint now) -> void
 {
     for (const auto& settlement : ask.settlements) {
@@ -160,6 +179,7 @@
         const auto wasAsked = std::ranges::find(ask.buckets, entry.bucket) != ask.buckets.end();
         if (bucket == nullptr || !wasAsked || entry.amount <= 0)
             continue;
+        this->activate(*bucket);
         bucket->escrow.borrow(entry.amount, grant.lender, grant.sequence, ask.expiresAt);
         bucket->hasSweepGrant = true;
         bucket->emptyUntil = TimePoint {};
--- a/src/citronloft/fleet/share_holder.cpp
+++ b/src/citronloft/fleet/share_holder.cpp
@@ -47,9 +47,9 @@
     if (isUnheard && now >= this->nextPollAt && !this->isPolling)
         this->pollStore(now);
     const auto heard = this->membership.steward();
-    const auto isNewer = heard && (heard->stewardEpoch > this->epoch || !this->stewardAddress);
+    const auto isNewer = heard && (heard->epoch > this->epoch || !this->stewardAddress);
     if (isNewer)
-        this->stewardAddress = heard->peerAddress();
+        this->stewardAddress = heard->address;
     const auto isDue = now >= this->nextRenewalAt || (this->isEager(now) && now >= this->sentAt + eagerRenewal);
     if (this->stewardAddress && isDue)
         this->renew(*this->stewardAddress, now);
@@ -148,7 +148,8 @@
     // A host that must be confirmed uses nothing, yet still lists what it holds: its lent parts may be outstanding.
     const auto held = this->held(now);
     this->hasSentNothingHeld = held.empty();
-    this->transport.send(to, RenewRequest { this->incarnation, this->sequence, this->leaving, held });
+    this->transport.send(
+        to, RenewRequest { this->incarnation, this->sequence, this->leaving, held, this->membership.self().headroom });
 }
 
 } // namespace citronloft
--- a/src/citronloft/fleet/zone_steward.cpp
+++ b/src/citronloft/fleet/zone_steward.cpp
@@ -59,6 +59,7 @@
     holder.sequence = request.sequence;
     holder.renewedAt = now;
     holder.leaving = request.leaving;
+    this->membership.noteHeadroom(request.incarnation, request.headroom);
     const auto granted = this->slotsFor(request.incarnation, now);
     const auto keeps = SlotMap(granted);
     const auto held = SlotMap(request.held);
@@ -78,7 +79,7 @@
     if (isListening && !this->wasListening)
         this->listeningSince = now;
     this->wasListening = isListening;
-    auto& announced = this->membership.self().stewardEpoch;
+    auto& announced = this->membership.vitals().stewardEpoch;
     const auto epoch = isListening ? this->shares.epoch : 0;
     if (announced == epoch)
         return;
@@ -254,9 +255,16 @@
 /// Takes a stored update of this steward as the present state; its authority counts from when it was sent.
 auto ZoneSteward::adopt(const ZoneShares& stored, std::uint64_t storedVersion) -> void
 {
+    const auto before = SlotMap(this->shares.ranges);
+    const auto after = SlotMap(stored.ranges);
+    for (auto slot = std::uint32_t { 0 }; slot < slotsPerZone; ++slot) {
+        // A slot that was given up while the update was under way stays free.
+        const auto isGivenUp = this->working.ownerOf(slot) == 0 && after.ownerOf(slot) == before.ownerOf(slot);
+        if (!isGivenUp)
+            this->working.setOwner(slot, after.ownerOf(slot));
+    }
     this->version = storedVersion;
     this->shares = stored;
-    this->working = SlotMap(stored.ranges);
     const auto sent = this->sentUpdates.find(stored.renewals);
     if (sent == this->sentUpdates.end())
         return;
--- a/tests/fakes/virtual_world.cpp
+++ b/tests/fakes/virtual_world.cpp
@@ -235,7 +235,7 @@
     node->host
         = std::make_unique<FleetHost>(hostOption, entry, surroundings, this->generator(), [raw](const auto& active) {
               raw->versions.push_back(active->version);
-              raw->host->membership().self().state = HostState::Serving;
+              raw->host->membership().setState(HostState::Serving);
           });
     this->nodes.push_back(std::move(node));
     auto offset = std::uniform_real_distribution<double>(0, 1);
