Fair queue: first turns; configuration changes cost their own size

Cause: (1) with one team at five times a target's capacity the quiet teams still waited a whole round in the fair queue (p50 170 to 190 ms for those within their part). The test WeightsDivideTheTurns counted the first 40 turns; it now counts 40 turns after the two first turns, as strict.

--- a/include/citronloft/base/config.hpp
+++ b/include/citronloft/base/config.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "citronloft/base/digest.hpp"
+#include "citronloft/base/shared_list.hpp"
 
 namespace citronloft {
 
@@ -116,7 +117,7 @@
     std::vector<Route> routes;
     std::vector<Pool> pools;
     std::vector<Zone> zones;
-    std::vector<ClientBlock> blocks;
+    SharedList<ClientBlock> blocks;
     std::vector<ShiftLimit> shifts;
 
     auto operator==(const Config&) const -> bool = default;
--- a/include/citronloft/fleet/config_follower.hpp
+++ b/include/citronloft/fleet/config_follower.hpp
@@ -70,12 +70,13 @@
 private:
     auto startWatch(TimePoint now) -> void;
     auto withManifest(const StoredObject& object) -> void;
-    auto loadAll(const ConfigManifest& manifest) -> void;
     auto startFetch(const Address& peer, TimePoint now) -> void;
     auto notifyPeers(std::uint64_t oldVersion) -> void;
     auto apply(const ConfigUpdate& update) -> bool;
-    auto putInForce(ConfigRecords newRecords, std::uint64_t version, std::string newDigest,
-        std::vector<RecordChange> delta) -> bool;
+    auto putAllInForce(ConfigRecords newRecords, std::uint64_t version, const std::string& expected) -> bool;
+    auto putDeltaInForce(const ConfigUpdate& update) -> bool;
+    auto changeRecords(const std::vector<RecordChange>& changes) -> std::vector<RecordChange>;
+    auto finish(std::uint64_t version, Config config) -> void;
     [[nodiscard]] auto version() const -> std::uint64_t { return this->current ? this->current->version : 0; }
 
     const Clock& clock;
@@ -86,7 +87,7 @@
     InForce inForce;
     std::shared_ptr<const ActiveConfig> current;
     ConfigRecords records;
-    std::string digest;
+    RecordsDigest digest;
     std::deque<ConfigUpdate> recent;
     std::uint64_t watchedVersion = absentVersion;
     bool isWatching = false;
--- a/include/citronloft/policy/lookup_planner.hpp
+++ b/include/citronloft/policy/lookup_planner.hpp
@@ -52,6 +52,8 @@
     std::vector<ZoneState> zones;
     std::vector<ShiftLimit> shifts;
     BlockTable blocks;
+    /// What `blocks` was built from.
+    SharedList<ClientBlock> tableBlocks;
     std::size_t ownZone = 0;
 };
 
--- a/src/citronloft/base/config_records.cpp
+++ b/src/citronloft/base/config_records.cpp
@@ -45,57 +45,131 @@
 
 namespace {
 
-template <typename Item> auto decodeInto(const std::string& value, std::vector<Item>& items) -> absl::Status
+/// A record's name split at its first slashes, for example kind "pool", first "ledger", rest "10.0.0.1:9000".
+struct RecordName {
+    std::string kind;
+    /// All after the kind.
+    std::string whole;
+    std::string first;
+    std::string rest;
+};
+
+auto splitName(const std::string& name) -> RecordName
+{
+    auto split = RecordName {};
+    const auto slash = std::min(name.find('/'), name.size());
+    split.kind = name.substr(0, slash);
+    split.whole = slash == name.size() ? std::string {} : name.substr(slash + 1);
+    const auto second = std::min(split.whole.find('/'), split.whole.size());
+    split.first = split.whole.substr(0, second);
+    split.rest = second == split.whole.size() ? std::string {} : split.whole.substr(second + 1);
+    return split;
+}
+
+auto nameOf(const Team& team) -> const std::string& { return team.name; }
+auto nameOf(const Route& route) -> const std::string& { return route.name; }
+auto nameOf(const Zone& zone) -> const std::string& { return zone.name; }
+auto nameOf(const Target& target) -> const std::string& { return target.address; }
+auto nameOf(const ShiftLimit& shift) -> std::string { return shift.from + "/" + shift.to; }
+
+/// Replaces, adds or removes the item of a short list.
+template <typename Item>
+auto setItem(std::vector<Item>& items, const std::string& name, const std::optional<std::string>& value) -> absl::Status
 {
-    auto item = decode<Item>(value);
+    const auto found = std::ranges::find_if(items, [&](const Item& item) { return nameOf(item) == name; });
+    if (!value) {
+        if (found != items.end())
+            items.erase(found);
+        return absl::OkStatus();
+    }
+    auto item = decode<Item>(*value);
     if (!item.ok())
         return item.status();
-    items.push_back(*std::move(item));
+    if (nameOf(*item) != name)
+        return absl::InvalidArgumentError("record '" + name + "' holds another item");
+    if (found == items.end())
+        items.push_back(*std::move(item));
+    else
+        *found = *std::move(item);
     return absl::OkStatus();
 }
 
-auto decodeTarget(const std::string& name, const std::string& value, Config& config) -> absl::Status
+auto setPool(Config& config, const RecordName& name, const std::optional<std::string>& value) -> absl::Status
 {
-    const auto poolName = name.substr(0, name.find('/'));
-    const auto pool = std::ranges::find(config.pools, poolName, &Pool::name);
-    if (pool == config.pools.end())
-        return absl::InvalidArgumentError("target of unknown pool '" + poolName + "'");
-    return decodeInto(value, pool->targets);
+    const auto pool = std::ranges::find(config.pools, name.first, &Pool::name);
+    if (!name.rest.empty()) {
+        if (pool != config.pools.end())
+            return setItem(pool->targets, name.rest, value);
+        return value ? absl::InvalidArgumentError("target of unknown pool '" + name.first + "'") : absl::OkStatus();
+    }
+    if (value && pool == config.pools.end())
+        config.pools.push_back({ name.first, {} });
+    if (!value && pool != config.pools.end())
+        config.pools.erase(pool);
+    return absl::OkStatus();
 }
 
-auto decodeSettings(const std::string& value, Config& config) -> absl::Status
+auto setSettings(Config& config, const std::optional<std::string>& value) -> absl::Status
 {
-    const auto settings = decode<FleetSettings>(value);
+    if (!value)
+        return absl::OkStatus();
+    const auto settings = decode<FleetSettings>(*value);
     if (settings.ok())
         config.settings = *settings;
     return settings.status();
 }
 
-/// Decodes one record; "pool/NAME" sorts before the pool's own "pool/NAME/ADDRESS".
-auto decodeRecord(const std::string& name, const std::string& value, Config& config) -> absl::Status
-{
-    const auto slash = name.find('/');
-    const auto kind = name.substr(0, slash);
-    const auto rest = slash == std::string::npos ? std::string {} : name.substr(slash + 1);
-    if (kind == "block")
-        return decodeInto(value, config.blocks);
-    if (kind == "team")
-        return decodeInto(value, config.teams);
-    if (kind == "route")
-        return decodeInto(value, config.routes);
-    if (kind == "zone")
-        return decodeInto(value, config.zones);
-    if (kind == "shift")
-        return decodeInto(value, config.shifts);
-    if (kind == "settings")
-        return decodeSettings(value, config);
-    if (kind == "pool" && rest.find('/') != std::string::npos)
-        return decodeTarget(rest, value, config);
-    if (kind == "pool") {
-        config.pools.push_back({ rest, {} });
-        return absl::OkStatus();
-    }
-    return absl::InvalidArgumentError("unknown record '" + name + "'");
+/// Blocks are many and sorted by prefix text, as the records are.
+auto setBlocks(Config& config, const std::vector<const RecordChange*>& changes) -> absl::Status
+{
+    auto status = absl::OkStatus();
+    config.blocks.mutate([&](std::vector<ClientBlock>& blocks) {
+        for (const auto* change : changes) {
+            const auto prefix = splitName(change->name).whole;
+            const auto place = std::ranges::lower_bound(blocks, prefix, {}, &ClientBlock::prefix);
+            const auto isKnown = place != blocks.end() && place->prefix == prefix;
+            if (!change->value) {
+                if (isKnown)
+                    blocks.erase(place);
+                continue;
+            }
+            auto block = decode<ClientBlock>(*change->value);
+            if (!block.ok() || block->prefix != prefix)
+                status = absl::InvalidArgumentError("malformed block '" + prefix + "'");
+            else if (isKnown)
+                *place = *std::move(block);
+            else
+                blocks.insert(place, *std::move(block));
+        }
+    });
+    return status;
+}
+
+auto setRecord(Config& config, const RecordName& name, const std::optional<std::string>& value) -> absl::Status
+{
+    if (name.kind == "team")
+        return setItem(config.teams, name.whole, value);
+    if (name.kind == "route")
+        return setItem(config.routes, name.whole, value);
+    if (name.kind == "zone")
+        return setItem(config.zones, name.whole, value);
+    if (name.kind == "shift")
+        return setItem(config.shifts, name.whole, value);
+    if (name.kind == "pool")
+        return setPool(config, name, value);
+    if (name.kind == "settings")
+        return setSettings(config, value);
+    return absl::InvalidArgumentError("unknown record kind '" + name.kind + "'");
+}
+
+/// The digest of one record as four lanes.
+auto lanesOf(const std::string& name, const std::string& value) -> std::array<std::uint64_t, 4>
+{
+    const auto digest = sha256(std::to_string(name.size()) + ":" + name + value);
+    auto lanes = std::array<std::uint64_t, 4> {};
+    for (auto i = std::size_t { 0 }; i < digest.size(); ++i)
+        lanes[i / 8] = (lanes[i / 8] << 8U) | digest[i];
+    return lanes;
 }
 
 } // namespace
@@ -125,15 +199,50 @@
 auto fromRecords(const ConfigRecords& records) -> absl::StatusOr<Config>
 {
     auto config = Config {};
-    for (const auto& [name, value] : records) {
-        if (const auto status = decodeRecord(name, value, config); !status.ok())
-            return status;
-    }
+    if (const auto status = applyToConfig(config, diffRecords({}, records)); !status.ok())
+        return status;
     if (const auto faults = checkConfig(config); !faults.empty())
         return absl::InvalidArgumentError(formatFault("records", faults.front()));
     return config;
 }
 
+auto applyToConfig(Config& config, const std::vector<RecordChange>& changes) -> absl::Status
+{
+    auto blocks = std::vector<const RecordChange*> {};
+    for (const auto& change : changes) {
+        const auto name = splitName(change.name);
+        if (name.kind == "block") {
+            blocks.push_back(&change);
+            continue;
+        }
+        if (const auto status = setRecord(config, name, change.value); !status.ok())
+            return status;
+    }
+    return blocks.empty() ? absl::OkStatus() : setBlocks(config, blocks);
+}
+
+auto RecordsDigest::add(const std::string& name, const std::string& value) -> void
+{
+    const auto added = lanesOf(name, value);
+    for (auto i = std::size_t { 0 }; i < added.size(); ++i)
+        this->lanes[i] += added[i];
+}
+
+auto RecordsDigest::remove(const std::string& name, const std::string& value) -> void
+{
+    const auto removed = lanesOf(name, value);
+    for (auto i = std::size_t { 0 }; i < removed.size(); ++i)
+        this->lanes[i] -= removed[i];
+}
+
+auto RecordsDigest::hex() const -> std::string
+{
+    auto digest = Digest {};
+    for (auto i = std::size_t { 0 }; i < digest.size(); ++i)
+        digest[i] = static_cast<std::uint8_t>(this->lanes[i / 8] >> (56 - 8 * (i % 8)));
+    return toHex(digest);
+}
+
 auto diffRecords(const ConfigRecords& from, const ConfigRecords& to) -> std::vector<RecordChange>
 {
     auto changes = std::vector<RecordChange> {};
--- a/src/citronloft/base/config_test.cpp
+++ b/src/citronloft/base/config_test.cpp
@@ -104,6 +104,41 @@
     EXPECT_EQ(*fromRecords(records), to);
 }
 
+TEST(ConfigRecords, ChangedInPlaceEqualsReadAnew)
+{
+    const auto from = *readConfig(readSource("examples/waitaha.yaml")).config;
+    auto to = from;
+    to.settings.lookupTtl = std::chrono::milliseconds { 77 };
+    to.teams[3].rate = 9;
+    to.teams.push_back({ "new", 1, 1, 1, {} });
+    to.routes.pop_back();
+    to.pools[0].targets[2].draining = true;
+    to.pools[1].targets.pop_back();
+    to.pools.push_back({ "ledger-2", { { "10.0.0.9:1", to.zones[0].name, 1, 1, false } } });
+    to.shifts.pop_back();
+    to.blocks.push_back({ "10.2.1.0/24", to.zones[3].name });
+    to.blocks.mutate([](auto& blocks) { blocks.erase(blocks.begin()); });
+    const auto changes = diffRecords(toRecords(from), toRecords(to));
+    auto config = *fromRecords(toRecords(from));
+    ASSERT_TRUE(applyToConfig(config, changes).ok());
+    EXPECT_EQ(toRecords(config), toRecords(to));
+    auto digest = RecordsDigest {};
+    auto expected = RecordsDigest {};
+    for (const auto& [name, value] : toRecords(from))
+        digest.add(name, value);
+    for (const auto& change : changes) {
+        if (toRecords(from).contains(change.name))
+            digest.remove(change.name, toRecords(from).at(change.name));
+        if (change.value)
+            digest.add(change.name, *change.value);
+    }
+    for (const auto& [name, value] : toRecords(to))
+        expected.add(name, value);
+    EXPECT_EQ(digest.hex(), expected.hex());
+    EXPECT_FALSE(applyToConfig(config, { { "team/x", "rubbish" } }).ok());
+    EXPECT_FALSE(applyToConfig(config, { { "block/x", "rubbish" } }).ok());
+}
+
 TEST(ConfigRecords, MalformedRecordsAreRefused)
 {
     auto records = toRecords(*readConfig(smallConfig).config);
--- a/src/citronloft/fleet/config_follower.cpp
+++ b/src/citronloft/fleet/config_follower.cpp
@@ -79,7 +79,7 @@
 {
     if (request.haveVersion >= this->version())
         return absl::NotFoundError("no newer version");
-    auto update = ConfigUpdate { 0, this->version(), this->digest, {} };
+    auto update = ConfigUpdate { 0, this->version(), this->digest.hex(), {} };
     const auto first = std::ranges::find(this->recent, request.haveVersion, &ConfigUpdate::fromVersion);
     if (request.haveVersion > 0 && first != this->recent.end()) {
         update.fromVersion = request.haveVersion;
@@ -141,7 +141,7 @@
                 return;
             }
             self->watchedVersion = std::max(self->watchedVersion, seen);
-            if (self->putInForce(*std::move(loaded), manifest.version, manifest.digest, {}))
+            if (self->putAllInForce(*std::move(loaded), manifest.version, manifest.digest))
                 self->freshAt = self->clock.now();
         });
 }
@@ -160,43 +160,79 @@
 /// @return whether the update's version is in force now.
 auto ConfigFollower::apply(const ConfigUpdate& update) -> bool
 {
-    const auto startsHere = update.fromVersion == 0 || update.fromVersion == this->version();
-    if (update.toVersion <= this->version() || !startsHere)
-        return false;
-    auto changed = update.fromVersion == 0 ? ConfigRecords {} : this->records;
-    applyChanges(changed, update.changes);
-    if (digestOf(changed) != update.digest) {
-        LogEvent(LogLevel::Error, "config-digest-mismatch").with("version", update.toVersion);
+    if (update.toVersion <= this->version())
         return false;
+    if (update.fromVersion == 0) {
+        auto records = ConfigRecords {};
+        applyChanges(records, update.changes);
+        return this->putAllInForce(std::move(records), update.toVersion, update.digest);
     }
-    const auto delta = update.fromVersion > 0 ? update.changes : std::vector<RecordChange> {};
-    return this->putInForce(std::move(changed), update.toVersion, update.digest, delta);
+    return update.fromVersion == this->version() && this->putDeltaInForce(update);
 }
 
-auto ConfigFollower::putInForce(
-    ConfigRecords newRecords, std::uint64_t version, std::string newDigest, std::vector<RecordChange> delta) -> bool
+auto ConfigFollower::putAllInForce(ConfigRecords newRecords, std::uint64_t version, const std::string& expected) -> bool
 {
-    if (version <= this->version())
-        return false;
+    auto newDigest = RecordsDigest {};
+    for (const auto& [name, value] : newRecords)
+        newDigest.add(name, value);
     auto config = fromRecords(newRecords);
-    if (!config.ok()) {
-        LogEvent(LogLevel::Error, "config-invalid").with("version", version).with("reason", config.status().ToString());
+    if (version <= this->version() || newDigest.hex() != expected || !config.ok()) {
+        LogEvent(LogLevel::Error, "config-refused").with("version", version).with("status", config.status().ToString());
         return false;
     }
-    const auto oldVersion = this->version();
-    if (delta.empty())
-        this->recent.clear();
-    else
-        this->recent.push_back({ this->version(), version, {}, std::move(delta) });
+    this->records = std::move(newRecords);
+    this->digest = newDigest;
+    this->recent.clear();
+    this->finish(version, *std::move(config));
+    return true;
+}
+
+/// Costs as much as the changes, not as the whole; a change that does not lead to the expected digest is taken back.
+auto ConfigFollower::putDeltaInForce(const ConfigUpdate& update) -> bool
+{
+    auto config = this->current->config;
+    const auto undo = this->changeRecords(update.changes);
+    const auto status = applyToConfig(config, update.changes);
+    if (!status.ok() || this->digest.hex() != update.digest) {
+        LogEvent(LogLevel::Error, "config-refused").with("version", update.toVersion).with("status", status.ToString());
+        this->changeRecords(undo);
+        return false;
+    }
+    this->recent.push_back(update);
     if (this->recent.size() > recentLimit)
         this->recent.pop_front();
-    this->records = std::move(newRecords);
-    this->digest = std::move(newDigest);
-    this->current = std::make_shared<const ActiveConfig>(ActiveConfig { version, *std::move(config) });
+    this->finish(update.toVersion, std::move(config));
+    return true;
+}
+
+/// @return the changes that take these back.
+auto ConfigFollower::changeRecords(const std::vector<RecordChange>& changes) -> std::vector<RecordChange>
+{
+    auto undo = std::vector<RecordChange> {};
+    for (const auto& change : changes) {
+        const auto old = this->records.find(change.name);
+        if (old != this->records.end()) {
+            this->digest.remove(old->first, old->second);
+            undo.insert(undo.begin(), { change.name, old->second });
+            this->records.erase(old);
+        } else {
+            undo.insert(undo.begin(), { change.name, std::nullopt });
+        }
+        if (!change.value)
+            continue;
+        this->digest.add(change.name, *change.value);
+        this->records[change.name] = *change.value;
+    }
+    return undo;
+}
+
+auto ConfigFollower::finish(std::uint64_t version, Config config) -> void
+{
+    const auto oldVersion = this->version();
+    this->current = std::make_shared<const ActiveConfig>(ActiveConfig { version, std::move(config) });
     this->membership.vitals().configVersion = version;
     this->notifyPeers(oldVersion);
     this->inForce(this->current);
-    return true;
 }
 
 } // namespace citronloft
--- a/src/citronloft/fleet/config_manifest.cpp
+++ b/src/citronloft/fleet/config_manifest.cpp
@@ -50,12 +50,10 @@
 
 auto digestOf(const ConfigRecords& records) -> std::string
 {
-    auto text = std::string {};
-    for (const auto& [name, value] : records) {
-        text += std::to_string(name.size()) + ":" + name;
-        text += std::to_string(value.size()) + ":" + value;
-    }
-    return toHex(sha256(text));
+    auto digest = RecordsDigest {};
+    for (const auto& [name, value] : records)
+        digest.add(name, value);
+    return digest.hex();
 }
 
 } // namespace citronloft
--- a/src/citronloft/policy/fair_queue.cpp
+++ b/src/citronloft/policy/fair_queue.cpp
@@ -90,28 +90,29 @@
         line.weight = std::max<std::uint32_t>(request.weight, 1);
         line.requests.push_back(request);
         ++this->count;
-        if (line.requests.size() == 1)
-            this->rotation.push_back(request.team);
+        if (line.turn == Turn::None) {
+            line.turn = Turn::First;
+            this->firstTurns.push_back(request.team);
+        }
         return Admission::Queued;
     }
 
     auto next() -> std::optional<QueuedRequest> override
     {
+        if (auto request = this->nextOfFirstTurns())
+            return request;
         while (!this->rotation.empty()) {
-            const auto team = this->rotation.front();
-            auto& line = this->lines[team];
+            auto& line = this->lines[this->rotation.front()];
             if (line.requests.empty()) {
                 this->endTurn(line, false);
                 continue;
             }
             if (line.deficit == 0)
                 line.deficit = line.weight;
-            auto request = line.requests.front();
-            line.requests.pop_front();
-            --this->count;
+            const auto request = this->pop(line);
             --line.deficit;
-            if (line.deficit == 0 || line.requests.empty())
-                this->endTurn(line, !line.requests.empty());
+            if (line.deficit == 0)
+                this->endTurn(line, true);
             return request;
         }
         return std::nullopt;
@@ -123,7 +124,6 @@
         for (auto& [team, line] : this->lines)
             moveLate(line.requests, now + serviceTime, late);
         this->count -= late.size();
-        this->dropEmptyLines();
         return late;
     }
 
@@ -134,34 +134,64 @@
             removeById(line.requests, id);
             this->count += line.requests.size();
         }
-        this->dropEmptyLines();
     }
 
     [[nodiscard]] auto size() const -> std::size_t override { return this->count; }
 
 private:
+    /// Where a team stands. A team that comes back after a pause has its first turn before the rotation, with one
+    /// request; it gets the next such turn only after the rotation has found it without requests.
+    enum class Turn : std::uint8_t { None, First, Rotating };
+
     struct Line {
         std::deque<QueuedRequest> requests;
         std::uint32_t weight = 1;
         std::uint32_t deficit = 0;
+        Turn turn = Turn::None;
     };
 
+    auto pop(Line& line) -> QueuedRequest
+    {
+        auto request = line.requests.front();
+        line.requests.pop_front();
+        --this->count;
+        return request;
+    }
+
+    auto nextOfFirstTurns() -> std::optional<QueuedRequest>
+    {
+        while (!this->firstTurns.empty()) {
+            const auto team = this->firstTurns.front();
+            this->firstTurns.pop_front();
+            auto& line = this->lines[team];
+            line.turn = Turn::Rotating;
+            this->rotation.push_back(team);
+            if (!line.requests.empty())
+                return this->pop(line);
+        }
+        return std::nullopt;
+    }
+
     /// A full queue still takes a request of a team that holds less than an even part; the newest of the longest line
     /// would have to be dropped for it, so that part is kept free instead.
     [[nodiscard]] auto makeRoom(const Line& line) const -> bool
     {
         if (!this->option.limitPerTeam)
             return false;
-        const auto evenPart = this->option.capacity / (this->rotation.size() + 1);
+        const auto evenPart = this->option.capacity / (this->rotation.size() + this->firstTurns.size() + 1);
         return line.requests.size() < evenPart && this->size() < this->option.capacity * 2;
     }
 
-    /// Requests that are sent before a new one of `line`: its own line, and each other line's part of those rounds.
+    /// Requests that are sent before a new one of `line`: first turns, its own line, and each other line's part of the
+    /// rounds that its own line needs.
     [[nodiscard]] auto requestsAhead(const Line& line, std::uint32_t weight) const -> std::size_t
     {
+        auto ahead = this->firstTurns.size();
+        if (line.turn == Turn::None)
+            return ahead;
         const auto own = line.requests.size();
         const auto rounds = own / std::max<std::uint32_t>(weight, 1) + 1;
-        auto ahead = own;
+        ahead += own;
         for (const auto team : this->rotation) {
             const auto& other = this->lines.at(team);
             if (&other != &line)
@@ -175,17 +205,14 @@
         const auto team = this->rotation.front();
         this->rotation.pop_front();
         line.deficit = 0;
+        line.turn = keep ? Turn::Rotating : Turn::None;
         if (keep)
             this->rotation.push_back(team);
     }
 
-    auto dropEmptyLines() -> void
-    {
-        std::erase_if(this->rotation, [&](std::size_t team) { return this->lines[team].requests.empty(); });
-    }
-
     FairQueueOption option;
     std::map<std::size_t, Line> lines;
+    std::deque<std::size_t> firstTurns;
     std::deque<std::size_t> rotation;
     std::size_t count = 0;
 };
--- a/src/citronloft/policy/fair_queue_test.cpp
+++ b/src/citronloft/policy/fair_queue_test.cpp
@@ -19,9 +19,28 @@
     auto queue = makeFairQueue();
     for (auto id = 0U; id < 100; ++id)
         EXPECT_EQ(queue->offer(request(id, 1), 1ms, 1, start), Admission::Queued);
-    queue->offer(request(1000, 2), 1ms, 1, start);
     queue->next();
+    queue->offer(request(1000, 2), 1ms, 1, start);
+    EXPECT_EQ(queue->next()->id, 1000U);
+}
+
+TEST(FairQueue, TeamThatComesBackGoesFirstOnceARound)
+{
+    auto queue = makeFairQueue();
+    for (auto team = 1U; team <= 4; ++team) {
+        for (auto i = 0U; i < 20; ++i)
+            queue->offer(request(team * 100 + i, team), 1ms, 1, start);
+    }
+    for (auto i = 0; i < 10; ++i)
+        queue->next();
+    queue->offer(request(1000, 9), 1ms, 1, start);
     EXPECT_EQ(queue->next()->id, 1000U);
+    // Its next request in the same round has to wait for the others' turns.
+    queue->offer(request(1001, 9), 1ms, 1, start);
+    auto others = 0;
+    while (queue->next()->id != 1001)
+        ++others;
+    EXPECT_EQ(others, 4);
 }
 
 TEST(FairQueue, FifoMakesTheQuietTeamWait)
@@ -42,6 +61,9 @@
         queue->offer(request(id, 1, 1), 1ms, 1, start);
         queue->offer(request(100 + id, 2, 3), 1ms, 1, start);
     }
+    // Each team's first turn has one request; from then on turns go by weight.
+    EXPECT_EQ(queue->next()->team, 1U);
+    EXPECT_EQ(queue->next()->team, 2U);
     auto heavy = 0;
     for (auto i = 0; i < 40; ++i)
         heavy += queue->next()->team == 2 ? 1 : 0;
--- a/src/citronloft/policy/lookup_planner.cpp
+++ b/src/citronloft/policy/lookup_planner.cpp
@@ -31,6 +31,7 @@
 
 auto LookupPlanner::setConfig(const Config& config, const std::string& ownZoneName) -> void
 {
+    const auto zoneName = [](const ZoneState& state) { return state.zone.name; };
     auto old = std::move(this->zones);
     this->zones.clear();
     for (const auto& zone : config.zones) {
@@ -38,7 +39,11 @@
         this->zones.push_back({ zone, known == old.end() ? ShiftBoundary {} : known->boundary });
     }
     this->shifts = config.shifts;
-    this->blocks = makeBlockTable(config);
+    // The table is as large as all blocks; it is built anew only when blocks or the order of zones changed.
+    const auto isSameOrder = std::ranges::equal(old, this->zones, {}, zoneName, zoneName);
+    if (!isSameOrder || !config.blocks.isSameAs(this->tableBlocks))
+        this->blocks = makeBlockTable(config);
+    this->tableBlocks = config.blocks;
     const auto own = std::ranges::find(config.zones, ownZoneName, &Zone::name);
     this->ownZone = static_cast<std::size_t>(own - config.zones.begin());
 }
