--- a/include/citronloft/check/history.hpp
+++ b/include/citronloft/check/history.hpp
@@ -40,6 +40,8 @@
     std::string team;
     std::string target;
     bool isKeySeen = false;
+    /// Empty if the request had none.
+    std::string idempotencyKey;
     TimePoint at;
 };
 
--- a/programs/standins/load.cpp
+++ b/programs/standins/load.cpp
@@ -38,6 +38,8 @@
     std::string readPath;
     std::string paymentPath;
     bool useIdempotencyKeys = false;
+    /// Every payment is submitted through two hosts at the same moment, with one idempotency key.
+    bool doublePayments = false;
     std::string historyPath;
     std::string jsonPath;
     std::uint64_t seed = 1;
@@ -189,25 +191,49 @@
         }
         auto uniform = std::uniform_real_distribution<double>(0, 1);
         const auto isPayment = uniform(this->random) < this->option.paymentShare;
+        const auto id = std::to_string(this->option.seed) + "-" + std::to_string(++this->lastId);
+        const auto isDoubled = isPayment && this->option.doublePayments;
+        if (isDoubled) {
+            const auto other = this->lookUp(ip, yield).value_or(*host);
+            boost::asio::spawn(
+                this->context,
+                [this, &team, other, id](boost::asio::yield_context inner) {
+                    this->sendTo(team, other, { id + "-b", id, true }, inner);
+                },
+                boost::asio::detached);
+        }
+        this->sendTo(team, *host, { id, id, isPayment }, yield);
+    }
+
+    /// One submission; two of them may share an idempotency key.
+    struct Submission {
+        std::string id;
+        std::string idempotencyKey;
+        bool isPayment = false;
+    };
+
+    auto sendTo(const LoadTeam& team, const Address& host, const Submission& submission,
+        boost::asio::yield_context yield) -> void
+    {
+        const auto& id = submission.id;
+        const auto isPayment = submission.isPayment;
         auto request = HttpRequest {};
-        const auto id
-            = this->option.jsonPath + std::to_string(this->option.seed) + "-" + std::to_string(++this->lastId);
         request.method = isPayment ? "POST" : "GET";
         request.target = isPayment ? this->option.paymentPath : this->option.readPath;
         request.body = isPayment ? "payment of request " + id : "";
         request.fields.set("Citronloft-Key", team.key);
         request.fields.set("X-Request-Id", id);
         if (isPayment && this->option.useIdempotencyKeys)
-            request.fields.set("Idempotency-Key", id);
+            request.fields.set("Idempotency-Key", submission.idempotencyKey);
         this->history.write("call",
             { { "id", id }, { "team", team.name }, { "payment", isPayment }, { "key", toHex(sha256(team.key)) } });
         constexpr auto callerTimeout = std::chrono::seconds { 5 };
         const auto startedAt = this->clock.now();
-        const auto exchange = this->client->exchange(*host, request,
+        const auto exchange = this->client->exchange(host, request,
             { .deadline = startedAt + callerTimeout, .reuseWithin = std::chrono::seconds { isPayment ? 0 : 10 } },
             yield);
         const auto latency = std::chrono::duration<double, std::milli>(this->clock.now() - startedAt).count();
-        this->record(team, id, request, formatAddress(*host), exchange, latency);
+        this->record(team, id, request, formatAddress(host), exchange, latency);
     }
 
     auto record(const LoadTeam& team, const std::string& id, const HttpRequest& request, const std::string& host,
@@ -282,10 +308,11 @@
         "client", po::value(&option.clients)->multitoken(), "IP numbers that callers say they have")("teams",
         po::value(&teamsPath), "JSON file with each team's key and rate")("seconds", po::value(&seconds), "duration")(
         "payment-share", po::value(&option.paymentShare), "part of non-idempotent requests")(
-        "read-path", po::value(&option.readPath)->default_value("/plans/1"), "path of reads")("payment-path",
-        po::value(&option.paymentPath)->default_value("/payments"),
-        "path of payments")("idempotency-keys", po::bool_switch(&option.useIdempotencyKeys),
-        "send an idempotency key with payments")("history", po::value(&option.historyPath), "file of JSON lines")(
+        "read-path", po::value(&option.readPath)->default_value("/plans/1"), "path of reads")(
+        "payment-path", po::value(&option.paymentPath)->default_value("/payments"), "path of payments")(
+        "idempotency-keys", po::bool_switch(&option.useIdempotencyKeys), "send an idempotency key with payments")(
+        "double-payments", po::bool_switch(&option.doublePayments), "submit every payment twice at the same moment")(
+        "history", po::value(&option.historyPath), "file of JSON lines")(
         "json", po::value(&option.jsonPath), "file for the results")("seed", po::value(&option.seed), "random seed");
     auto values = po::variables_map {};
     po::store(po::parse_command_line(argc, argv, options), values);
--- a/programs/standins/target.cpp
+++ b/programs/standins/target.cpp
@@ -111,12 +111,10 @@
 
     [[nodiscard]] auto describe(const HttpRequest& request) const -> nlohmann::json
     {
-        auto names = nlohmann::json::array();
-        for (const auto& field : request.fields)
-            names.push_back(field.name + ": " + field.value);
         return { { "id", request.fields.get("X-Request-Id") }, { "team", request.fields.get("Citronloft-Team") },
             { "target", this->name }, { "method", request.method }, { "path", request.target },
-            { "key_seen", request.fields.has("Citronloft-Key") } };
+            { "key_seen", request.fields.has("Citronloft-Key") },
+            { "idempotency_key", request.fields.get("Idempotency-Key") } };
     }
 
     auto answer(const HttpRequest& request) -> HttpResponse
--- a/scripts/failure-test.sh
+++ b/scripts/failure-test.sh
@@ -253,6 +253,38 @@
   store_control outage=0
 }
 
+case_double_submit() {
+  begin_load 10 --idempotency-keys --double-payments --payment-share 0.5
+  sleep 2
+  kill -KILL "${HOST_PIDS[1.1]}"
+  sleep 1
+  store_control lose_replies=30
+  sleep 1
+  kill -STOP "${HOST_PIDS[3.2]}"
+  sleep 2
+  kill -CONT "${HOST_PIDS[3.2]}"
+  end_load
+  judge
+  check "the second submission was refused as a duplicate" [ "$(code_count 3004)" -gt 500 ]
+}
+
+case_lost_region() {
+  local zone host
+  begin_load 14
+  sleep 2
+  for zone in 5 6; do
+    for host in 1 2 3; do
+      kill -KILL "${HOST_PIDS[$zone.$host]}"
+    done
+  done
+  end_load
+  judge
+  check "the other regions were served" [ "$(code_count 1000)" -gt 4000 ]
+  sleep 6
+  check "callers of the lost region move by the cap or are told to come back" \
+    bash -c "curl -s 'http://127.$FLEET_NET.1.1:8080/citronloft/v1/lookup?client=10.5.0.7' | grep -qE 'shift-cap-reached|auckland|christchurch'"
+}
+
 case_team_over_its_rate() {
   sed -i 's/\("households-north".*"rate": \)[0-9.]*/\11500/' "$FLEET_DIR/teams.json"
   begin_load 8
--- a/src/citronloft/check/history.cpp
+++ b/src/citronloft/check/history.cpp
@@ -36,8 +36,8 @@
 
 auto addRun(History& history, const Json& json) -> void
 {
-    history.runs.push_back(
-        { json.at("id"), json.at("team"), json.at("target"), json.value("key_seen", false), timeOf(json) });
+    history.runs.push_back({ json.at("id"), json.at("team"), json.at("target"), json.value("key_seen", false),
+        json.value("idempotency_key", ""), timeOf(json) });
 }
 
 auto addTeam(History& history, const Json& json) -> void
@@ -102,6 +102,16 @@
     }
 }
 
+auto checkIdempotencyKeys(const History& history, const HistoryBounds& /*bounds*/, Breaches& breaches) -> void
+{
+    auto runs = std::unordered_map<std::string, unsigned> {};
+    for (const auto& run : history.runs) {
+        const auto key = run.team + "/" + run.idempotencyKey;
+        if (!run.idempotencyKey.empty() && ++runs[key] == 2)
+            breaches.push_back({ "idempotency-key-once", "key " + key + " ran more than once, at last as " + run.id });
+    }
+}
+
 auto checkNotRunIsTrue(const History& history, const HistoryBounds& /*bounds*/, Breaches& breaches) -> void
 {
     auto ran = std::unordered_map<std::string, const RunEvent*> {};
@@ -242,8 +252,8 @@
     }
 }
 
-constexpr auto rules = std::to_array({ &checkMalformed, &checkRunsAtMostOnce, &checkNotRunIsTrue, &checkOwnAnswer,
-    &checkKeysStay, &checkTeams, &checkWithdrawals, &checkDrains, &checkConfigVersions, &checkRates });
+constexpr auto rules = std::to_array({ &checkMalformed, &checkRunsAtMostOnce, &checkIdempotencyKeys, &checkNotRunIsTrue,
+    &checkOwnAnswer, &checkKeysStay, &checkTeams, &checkWithdrawals, &checkDrains, &checkConfigVersions, &checkRates });
 
 } // namespace
 
--- a/src/citronloft/check/history_test.cpp
+++ b/src/citronloft/check/history_test.cpp
@@ -54,6 +54,11 @@
     return {
         { "well-formed", "not json\n" },
         { "at-most-once", run },
+        { "idempotency-key-once",
+            R"({"event":"call","id":"3","team":"a","payment":true,"t":1400000000}
+{"event":"run","id":"3","team":"a","target":"x","idempotency_key":"i","t":1500000000}
+{"event":"call","id":"4","team":"a","payment":true,"t":1600000000}
+{"event":"run","id":"4","team":"a","target":"y","idempotency_key":"i","t":1700000000})" },
         { "not-run-is-true", R"({"event":"run","id":"2","team":"a","target":"x","t":1350000000})" },
         { "answer-has-a-run",
             R"({"event":"call","id":"3","team":"a","t":1400000000}
