--- a/include/citronloft/base/config.hpp
+++ b/include/citronloft/base/config.hpp
@@ -119,6 +119,8 @@
     std::vector<Zone> zones;
     SharedList<ClientBlock> blocks;
     std::vector<ShiftLimit> shifts;
+    /// Service addresses of hosts that look-ups leave out while they go on serving.
+    std::vector<std::string> drainingHosts;
 
     auto operator==(const Config&) const -> bool = default;
 };
--- a/include/citronloft/base/config_edit.hpp
+++ b/include/citronloft/base/config_edit.hpp
@@ -18,6 +18,10 @@
 /// @return the edited text, or NotFound if the digest stands nowhere.
 auto removeTeamKey(const std::string& text, const Digest& digest) -> absl::StatusOr<std::string>;
 
+/// @brief Adds a host's service address to draining_hosts, or removes it.
+/// @return the edited text, or NotFound if a host to remove does not stand there.
+auto setHostDraining(const std::string& text, const std::string& address, bool draining) -> absl::StatusOr<std::string>;
+
 /// @brief Sets the draining field of the target with this address, or of the zone with this name.
 /// @return the edited text, or NotFound.
 auto setDraining(const std::string& text, const std::string& name, bool draining) -> absl::StatusOr<std::string>;
--- a/include/citronloft/fleet/fleet_host.hpp
+++ b/include/citronloft/fleet/fleet_host.hpp
@@ -49,7 +49,7 @@
     /// @brief Begins a planned stop: shares and roles are handed over.
     auto leave() -> void;
 
-    /// @return whether nothing is left to hand over.
+    /// @return whether nothing is left to hand over, or nobody took it in time; its slots then lapse with their lease.
     [[nodiscard]] auto hasHandedOver() const -> bool;
 
     auto membership() -> Membership& { return this->members; }
@@ -77,6 +77,7 @@
     std::shared_ptr<ConfigFollower> follower;
     std::shared_ptr<ClaimRegistry> claimRegistry;
     ConfigFollower::InForce inForce;
+    TimePoint handOverUntil = TimePoint::max();
 };
 
 /// @return the bucket's name of a team's rate.
--- a/programs/citronloft/edit_commands.cpp
+++ b/programs/citronloft/edit_commands.cpp
@@ -66,12 +66,13 @@
 auto runDrain(Tool& tool) -> ExitCode
 {
     if (tool.arguments.empty() || tool.file.empty())
-        return complain("use 'drain TARGET|ZONE --file F'", ExitCode::Usage);
+        return complain("use 'drain TARGET|ZONE --file F' or 'drain HOST --host --file F'", ExitCode::Usage);
     const auto text = readTextFile(tool.file);
     if (!text)
         return ExitCode::Usage;
     const auto& name = tool.arguments.front();
-    const auto code = saveEdited(tool, setDraining(*text, name, !tool.undo));
+    const auto edited = tool.isHost ? setHostDraining(*text, name, !tool.undo) : setDraining(*text, name, !tool.undo);
+    const auto code = saveEdited(tool, edited);
     if (code == ExitCode::Ok)
         tool.print(
             { { "name", name }, { "draining", !tool.undo } }, "set; apply " + tool.file + " to put it in force\n");
--- a/programs/citronloft/main.cpp
+++ b/programs/citronloft/main.cpp
@@ -23,7 +23,7 @@
     { "get", "", "print the configuration in force", &runGet },
     { "status", "", "print every host's state, versions and leases", &runStatus },
     { "key", "new|withdraw", "issue or withdraw a team's key in a file", &runKey },
-    { "drain", "TARGET|ZONE", "mark a target or zone in a file as draining (--undo: as not draining)", &runDrain },
+    { "drain", "TARGET|ZONE", "mark a target, zone or (--host) host in a file as draining; --undo ends it", &runDrain },
     { "version", "", "print the version", &runVersion },
     { "completion", "", "print a bash completion script", &runCompletion },
 });
@@ -53,7 +53,8 @@
         "summary", po::value(&tool.summary), "what the change is for")("expect", po::value<std::uint64_t>(),
         "apply only over this version")("wait", po::bool_switch(&tool.wait), "wait until in force on all live hosts")(
         "wait-ms", po::value<std::int64_t>(), "greatest time to wait")("undo", po::bool_switch(&tool.undo),
-        "end a drain")("json", po::bool_switch(&tool.json), "print JSON")("help", "print this help");
+        "end a drain")("host", po::bool_switch(&tool.isHost), "drain an entry host, named by its service address")(
+        "json", po::bool_switch(&tool.json), "print JSON")("help", "print this help");
     return options;
 }
 
@@ -105,9 +106,10 @@
     auto names = std::string {};
     for (const auto& command : commandTable())
         names += std::string { command.name } + " ";
-    std::cout << "complete -o default -W '" << names
-              << "--platform --status-from --file --team --operator --summary --expect --wait --undo --json --help' "
-                 "citronloft\n";
+    std::cout
+        << "complete -o default -W '" << names
+        << "--platform --status-from --file --team --operator --summary --expect --wait --undo --host --json --help' "
+           "citronloft\n";
     return ExitCode::Ok;
 }
 
--- a/programs/citronloft/tool.hpp
+++ b/programs/citronloft/tool.hpp
@@ -44,6 +44,8 @@
     bool json = false;
     bool wait = false;
     bool undo = false;
+    /// The name to drain is a host's service address.
+    bool isHost = false;
 
     boost::asio::io_context context { 1 };
     SteadyClock clock;
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -1,5 +1,6 @@
 #include "host.hpp"
 
+#include <algorithm>
 #include <array>
 
 #include <nlohmann/json.hpp>
@@ -110,8 +111,12 @@
 {
     this->gateway->setConfig(active);
     this->lifecycle->process(HostEvent::ConfigInForce);
+    const auto& drained = active->config.drainingHosts;
+    const auto address = formatAddress({ this->settings.ip, this->settings.servicePort });
+    const auto isDrained = std::ranges::find(drained, address) != drained.end();
+    // A drained host shows itself as leaving and goes on serving until it is stopped or put back.
     if (this->lifecycle->state() == HostState::Serving)
-        this->fleet->membership().setState(HostState::Serving);
+        this->fleet->membership().setState(isDrained ? HostState::Leaving : HostState::Serving);
     LogEvent(LogLevel::Info, "config-in-force").with("version", active->version);
 }
 
--- a/scripts/failure-test.sh
+++ b/scripts/failure-test.sh
@@ -170,6 +170,33 @@
   check "no request was cut" [ "$(cut_count)" -eq 0 ]
 }
 
+case_stop_host_without_store() {
+  begin_load 24
+  store_control outage=2
+  sleep 11
+  local pid="${HOST_PIDS[2.1]}"
+  kill -TERM "$pid"
+  check "the stopped host exits with 0" wait "$pid"
+  end_load
+  judge
+  check "no request was cut" [ "$(cut_count)" -eq 0 ]
+  grep -o 'event=host-drained.*' "$FLEET_DIR/host-2.1.log" | sed 's/^/  /'
+}
+
+case_drain_host() {
+  local host="127.$FLEET_NET.1.2:8080"
+  begin_load 12
+  sleep 1
+  "$FLEET_BIN/citronloft" drain "$host" --host --file "$FLEET_DIR/config.yaml" >/dev/null
+  check "the drain is accepted" apply_config --wait --status-from "$fleet_status"
+  check "look-ups leave the host out" wait_for 5 bash -c \
+    "! curl -s 'http://127.$FLEET_NET.1.1:8080/citronloft/v1/lookup?client=10.1.0.7' | grep -q '$host'"
+  check "it goes on serving" bash -c "curl -s 'http://$host/citronloft/v1/lookup' | grep -q hosts"
+  end_load
+  judge
+  check "no request was cut" [ "$(cut_count)" -eq 0 ]
+}
+
 case_drain_target() {
   local target="127.$FLEET_NET.1.101:9000"
   begin_load 12
--- a/src/citronloft/base/config_edit.cpp
+++ b/src/citronloft/base/config_edit.cpp
@@ -51,6 +51,23 @@
     return text.insert(endOfLine(text, afterPosition), "\n" + indent + field);
 }
 
+/// Removes a list's item: the whole line in a block list, the item and a comma in a flow list.
+auto removeListItem(const std::string& text, std::size_t begin, std::size_t length) -> std::string
+{
+    auto edited = text;
+    const auto lineStart = text.rfind('\n', begin);
+    const auto lineBegin = lineStart == std::string::npos ? 0 : lineStart + 1;
+    const auto lead = text.substr(lineBegin, begin - lineBegin);
+    if (lead.find_first_not_of(" -") == std::string::npos && lead.find('-') != std::string::npos)
+        return edited.erase(lineBegin, endOfLine(text, begin) + 1 - lineBegin);
+    auto end = begin + length;
+    if (text.compare(end, 2, ", ") == 0)
+        end += 2;
+    else if (begin >= 2 && text.compare(begin - 2, 2, ", ") == 0)
+        begin -= 2;
+    return edited.erase(begin, end - begin);
+}
+
 } // namespace
 
 auto addTeamKey(const std::string& text, const std::string& team, const Digest& digest) -> absl::StatusOr<std::string>
@@ -77,18 +94,28 @@
     const auto position = text.find(hex);
     if (position == std::string::npos)
         return absl::NotFoundError("the key's digest stands nowhere in the file");
-    auto begin = position;
-    auto end = position + hex.size();
-    const auto lineBegin = text.rfind('\n', position) == std::string::npos ? 0 : text.rfind('\n', position) + 1;
-    const auto lead = text.substr(lineBegin, position - lineBegin);
+    return removeListItem(text, position, hex.size());
+}
+
+auto setHostDraining(const std::string& text, const std::string& address, bool draining) -> absl::StatusOr<std::string>
+{
+    const auto root = YAML::Load(text);
+    const auto list = root["draining_hosts"];
+    const auto quoted = "\"" + address + "\"";
     auto edited = text;
-    if (lead.find_first_not_of(" -") == std::string::npos && lead.find('-') != std::string::npos)
-        return edited.erase(lineBegin, endOfLine(text, position) + 1 - lineBegin);
-    if (text.compare(end, 2, ", ") == 0)
-        end += 2;
-    else if (begin >= 2 && text.compare(begin - 2, 2, ", ") == 0)
-        begin -= 2;
-    return edited.erase(begin, end - begin);
+    if (draining && !list.IsDefined())
+        return edited + (text.ends_with('\n') ? "" : "\n") + "draining_hosts: [" + quoted + "]\n";
+    if (draining && list.Style() == YAML::EmitterStyle::Flow)
+        return edited.insert(static_cast<std::size_t>(list.Mark().pos) + 1, quoted + (list.size() == 0 ? "" : ", "));
+    if (draining) {
+        const auto indent = std::string(static_cast<std::size_t>(list.Mark().column), ' ');
+        return edited.insert(static_cast<std::size_t>(list.Mark().pos), "- " + quoted + "\n" + indent);
+    }
+    const auto position = list.IsDefined() ? text.find(address, static_cast<std::size_t>(list.Mark().pos)) : text.npos;
+    if (position == std::string::npos)
+        return absl::NotFoundError("host '" + address + "' does not drain in the file");
+    const auto isQuoted = position > 0 && (text[position - 1] == '"' || text[position - 1] == '\'');
+    return removeListItem(text, position - (isQuoted ? 1 : 0), address.size() + (isQuoted ? 2 : 0));
 }
 
 auto setDraining(const std::string& text, const std::string& name, bool draining) -> absl::StatusOr<std::string>
--- a/src/citronloft/base/config_file.cpp
+++ b/src/citronloft/base/config_file.cpp
@@ -253,6 +253,11 @@
     config.zones = readList<Zone>(root, "zones", faults, readZone);
     config.blocks = readList<ClientBlock>(root, "blocks", faults, readBlock);
     config.shifts = readList<ShiftLimit>(root, "shifts", faults, readShift);
+    root.strings("draining_hosts", config.drainingHosts);
+    for (const auto& host : config.drainingHosts) {
+        if (!parseAddress(host).ok())
+            root.fault("draining_hosts", "'" + host + "' is not an IP number and a port");
+    }
     root.finish();
     return config;
 }
--- a/src/citronloft/base/config_records.cpp
+++ b/src/citronloft/base/config_records.cpp
@@ -159,6 +159,12 @@
         return setPool(config, name, value);
     if (name.kind == "settings")
         return setSettings(config, value);
+    if (name.kind == "draining-host") {
+        std::erase(config.drainingHosts, name.whole);
+        if (value)
+            config.drainingHosts.push_back(name.whole);
+        return absl::OkStatus();
+    }
     return absl::InvalidArgumentError("unknown record kind '" + name.kind + "'");
 }
 
@@ -193,6 +199,8 @@
         records["block/" + block.prefix] = encode(block);
     for (const auto& shift : config.shifts)
         records["shift/" + shift.from + "/" + shift.to] = encode(shift);
+    for (const auto& host : config.drainingHosts)
+        records["draining-host/" + host] = "";
     return records;
 }
 
--- a/src/citronloft/base/config_test.cpp
+++ b/src/citronloft/base/config_test.cpp
@@ -181,6 +181,24 @@
     EXPECT_FALSE(setDraining(smallConfig, "nothing", true).ok());
 }
 
+TEST(ConfigEdit, DrainsHostsAndPutsThemBack)
+{
+    const auto one = *setHostDraining(smallConfig, "10.0.0.1:8080", true);
+    const auto two = *setHostDraining(one, "10.0.0.2:8080", true);
+    const auto config = readConfig(two).config;
+    ASSERT_TRUE(config) << two;
+    EXPECT_EQ(config->drainingHosts.size(), 2U);
+    EXPECT_EQ(toRecords(*fromRecords(toRecords(*config))), toRecords(*config));
+    EXPECT_EQ(readConfig(writeConfig(*config)).config, config);
+    const auto back = *setHostDraining(*setHostDraining(two, "10.0.0.1:8080", false), "10.0.0.2:8080", false);
+    EXPECT_EQ(readConfig(back).config, readConfig(smallConfig).config) << back;
+    const auto block = std::string { smallConfig } + "draining_hosts:\n  - 10.0.0.3:8080\n";
+    EXPECT_EQ(readConfig(*setHostDraining(block, "10.0.0.1:8080", true)).config->drainingHosts.size(), 2U);
+    EXPECT_EQ(readConfig(*setHostDraining(block, "10.0.0.3:8080", false)).config, readConfig(smallConfig).config);
+    EXPECT_FALSE(setHostDraining(smallConfig, "10.0.0.9:8080", false).ok());
+    EXPECT_FALSE(readConfig(std::string { smallConfig } + "draining_hosts: [here]\n").config);
+}
+
 TEST(HostSettings, ReadsAndRefusesStrictly)
 {
     const auto good = std::string { "ip: 10.0.0.1\nzone: z\nplatform: 10.0.0.9:1\nfleet_secret: sixteen-characters\n" };
--- a/src/citronloft/base/config_writer.cpp
+++ b/src/citronloft/base/config_writer.cpp
@@ -95,6 +95,10 @@
     emitRoutes(out, config);
     emitPools(out, config);
     emitPlaces(out, config);
+    out << YAML::Key << "draining_hosts" << YAML::Value << YAML::BeginSeq;
+    for (const auto& host : config.drainingHosts)
+        out << host;
+    out << YAML::EndSeq;
     out << YAML::EndMap;
     return std::string { out.c_str() } + "\n";
 }
--- a/src/citronloft/edge/http_test.cpp
+++ b/src/citronloft/edge/http_test.cpp
@@ -297,6 +297,29 @@
     });
 }
 
+TEST_F(HttpTest, RequestInTheMiddleOfItsBodyIsAnsweredWhenTheServerCloses)
+{
+    const auto address = this->startServer();
+    this->run([&](boost::asio::yield_context yield) {
+        auto socket = boost::asio::ip::tcp::socket(this->context);
+        socket.async_connect({ boost::asio::ip::make_address(address.ip), address.port }, yield);
+        const auto head = std::string { "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\nabc" };
+        boost::asio::async_write(socket, boost::asio::buffer(head), yield);
+        auto timer = boost::asio::steady_timer(this->context);
+        while (this->server->inFlight() == 0) {
+            timer.expires_after(1ms);
+            timer.async_wait(yield);
+        }
+        this->server->closeIdle();
+        boost::asio::async_write(socket, boost::asio::buffer(std::string { "def" }), yield);
+        auto answer = std::string {};
+        auto error = boost::system::error_code {};
+        boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(answer), "abcdef", yield[error]);
+        EXPECT_TRUE(answer.ends_with("POST /x abcdef")) << answer;
+        EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+    });
+}
+
 TEST_F(HttpTest, ProblemNamesCodeAndOutcome)
 {
     const auto problem = problemResponse(ResultCode::RateExceeded, 1500ms);
--- a/src/citronloft/fleet/fleet_host.cpp
+++ b/src/citronloft/fleet/fleet_host.cpp
@@ -10,8 +10,9 @@
 
 /// The store counts as reachable for so long after its last answer.
 constexpr auto storeReachableFor = std::chrono::seconds { 5 };
-/// A host that has heard nothing from a zone waits so long for its steward before it stops handing over.
-constexpr auto shiftBurstSeconds = 1.0;
+/// Time for a leaving host to give its slots and its role away; without a steward or a store nobody takes them.
+constexpr auto greatestHandOverTime = std::chrono::seconds { 8 };
+constexpr auto linkBurstSeconds = 1.0;
 
 } // namespace
 
@@ -96,6 +97,7 @@
 
 auto FleetHost::leave() -> void
 {
+    this->handOverUntil = this->surroundings.clock.now() + greatestHandOverTime;
     this->holder->leave();
     this->zoneSteward->leave();
     this->members.setState(HostState::Leaving);
@@ -103,8 +105,8 @@
 
 auto FleetHost::hasHandedOver() const -> bool
 {
-    const auto isAlone = !this->members.steward().has_value();
-    return (this->holder->hasHandedOver() || isAlone) && this->zoneSteward->heldEpoch() == 0;
+    const auto isOver = this->surroundings.clock.now() >= this->handOverUntil;
+    return isOver || (this->holder->hasHandedOver() && this->zoneSteward->heldEpoch() == 0);
 }
 
 auto FleetHost::zonePart() const -> double
@@ -143,7 +145,7 @@
         auto senders = parts;
         for (auto i = std::size_t { 0 }; i < senders.size(); ++i)
             senders[i] = config.zones[i].region == shift.from ? senders[i] : 0;
-        const auto bytesBurst = shift.bytesPerSecond * shiftBurstSeconds;
+        const auto bytesBurst = shift.bytesPerSecond * linkBurstSeconds;
         specs.push_back(
             makeBucketSpec(shiftBucketName(shift.from, shift.to, false), shift.rate, shift.burst, senders, index));
         specs.push_back(makeBucketSpec(
--- a/src/citronloft/fleet/fleet_host_test.cpp
+++ b/src/citronloft/fleet/fleet_host_test.cpp
@@ -89,6 +89,21 @@
     EXPECT_TRUE(this->world->runUntil([&] { return zoneSlots(*this->world, "a1") == slotsPerZone; }, 15s));
 }
 
+/// Nobody can take the slots without the store; the stop must end all the same.
+TEST_F(FleetHostTest, PlannedStopEndsDuringStoreOutage)
+{
+    this->start({}, 100, 50);
+    this->world->faults.storeDown = true;
+    this->world->run(15s);
+    for (auto& node : this->world->nodes)
+        node->host->leave();
+    const auto isOver = [&] {
+        return std::ranges::all_of(this->world->nodes, [](auto& node) { return node->host->hasHandedOver(); });
+    };
+    EXPECT_FALSE(isOver());
+    EXPECT_TRUE(this->world->runUntil(isOver, 10s));
+}
+
 TEST_F(FleetHostTest, StoreOutageLeavesEveryHostItsSlots)
 {
     this->start({}, 100, 50);
@@ -195,5 +210,45 @@
     EXPECT_TRUE(this->world->runUntil([&] { return this->world->nodes[0]->versions.back() == result.version; }, 15s));
 }
 
+/// Regions cut from each other, one of them from the store too; meanwhile a host is replaced, a steward is paused and a
+/// change (say, a withdrawn key) is accepted.
+TEST_F(FleetHostTest, RegionsCutFromEachOtherConvergeWhenHealed)
+{
+    this->start({}, 400, 200);
+    auto& world = *this->world;
+    for (const auto* left : { "a1", "a2" }) {
+        for (const auto* right : { "b1", "b2" })
+            world.faults.cuts.insert({ left, right });
+    }
+    world.faults.cutFromStore = { "b1", "b2" };
+    auto callers = Callers(world, 400, 200);
+    callers.load(600, 5s, [&] { return this->randomHost(); });
+    world.crash(0);
+    world.startHost("a1");
+    auto paused = std::size_t { 6 };
+    for (auto i = std::size_t { 6 }; i < 9; ++i)
+        paused = world.nodes[i]->host->steward().heldEpoch() > 0 ? i : paused;
+    world.pause(paused);
+    const auto result = world.apply(smallConfig(this->zones, 400, 150));
+    EXPECT_EQ(result.outcome, ApplyOutcome::Accepted);
+    callers.load(600, 10s, [&] { return this->randomHost(); });
+    world.resume(paused);
+    callers.load(600, 10s, [&] { return this->randomHost(); });
+    EXPECT_LT(world.nodes[7]->versions.back(), result.version);
+    EXPECT_EQ(world.nodes[1]->versions.back(), result.version);
+    world.faults = {};
+    const auto inForce = [&] {
+        return std::ranges::all_of(
+            world.nodes, [&](auto& node) { return !node->alive || node->versions.back() == result.version; });
+    };
+    EXPECT_TRUE(world.runUntil(inForce, 15s));
+    EXPECT_TRUE(world.runUntil([&] { return allZonesFull(world, this->zones); }, 60s));
+    EXPECT_GT(callers.admitted, 0U);
+    EXPECT_LE(callers.excess(), 1e-6);
+    EXPECT_EQ(callers.sharedSlot, "");
+    for (auto& node : world.nodes)
+        EXPECT_TRUE(std::ranges::is_sorted(node->versions));
+}
+
 } // namespace
 } // namespace citronloft
