--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Runs Waitaha's layout on loopback numbers for a few seconds of load and prints what callers saw.
 # DEMO_SECONDS sets the length of the load, FLEET_NET the second number of the network 127.NET.0.0/16.
+# DEMO_LAYOUT=fascia runs the Fascia Quotations Unit's layout instead.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 scripts/build.sh >/dev/null || exit 1
@@ -12,24 +13,31 @@
 seconds="${DEMO_SECONDS:-8}"
 clients=(10.1.0.7 10.2.0.7 10.3.0.7 10.4.0.7 10.5.0.7 10.6.0.7)
 
-copy_example examples/waitaha.yaml
+layout="${DEMO_LAYOUT:-waitaha}"
+paths=(--read-path /plans/1 --payment-path /payments)
+slots=10
+if [ "$layout" = fascia ]; then
+  paths=(--read-path /specifications/1 --payment-path /acceptances)
+  slots=3
+fi
+copy_example "examples/$layout.yaml"
 issue_keys
 withdrawn=$("$FLEET_BIN/citronloft" key new --team auditors --file "$FLEET_DIR/config.yaml" | head -1)
 start_store
-start_targets --slots 10 --service-ms 5
+start_targets --slots "$slots" --service-ms 5
 start_hosts "$zones" "$hosts_per_zone"
 wait_for 10 apply_config || exit 1
 wait_for 20 fleet_is_ready $(( zones * hosts_per_zone )) || exit 1
 echo "$(( zones * hosts_per_zone )) hosts serve"
 
 "$FLEET_BIN/standin_load" --lookup "127.$FLEET_NET.1.1:8080" "127.$FLEET_NET.4.2:8080" --client "${clients[@]}" \
-  --teams "$FLEET_DIR/teams.json" --seconds "$seconds" --seed 1 --idempotency-keys \
+  --teams "$FLEET_DIR/teams.json" --seconds "$seconds" --seed 1 --idempotency-keys "${paths[@]}" \
   --history "$FLEET_DIR/callers.jsonl" --json "$FLEET_DIR/load.json" >"$FLEET_DIR/load.txt" &
 load=$!
 
-echo "{ \"auditors\": { \"key\": \"$withdrawn\", \"rate\": 5 } }" >"$FLEET_DIR/withdrawn.json"
+echo "{ \"auditors\": { \"key\": \"$withdrawn\", \"rate\": 2 } }" >"$FLEET_DIR/withdrawn.json"
 "$FLEET_BIN/standin_load" --lookup "127.$FLEET_NET.2.1:8080" --teams "$FLEET_DIR/withdrawn.json" \
-  --seconds "$seconds" --seed 2 --history "$FLEET_DIR/withdrawn.jsonl" >/dev/null &
+  --seconds "$seconds" --seed 2 "${paths[@]}" --history "$FLEET_DIR/withdrawn.jsonl" >/dev/null &
 withdrawn_load=$!
 
 sleep 2
