--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/program_options.hpp>
 
+#include "citronloft/base/codec.hpp"
 #include "citronloft/check/rate_window.hpp"
 #include "fakes/virtual_world.hpp"
 
@@ -199,6 +200,42 @@
     }
 }
 
+template <typename Message> auto printSize(const std::string& name, const Message& message) -> void
+{
+    constexpr auto sealAndHeaders = std::size_t { 62 };
+    std::cout << std::left << std::setw(44) << name << std::right << std::setw(7)
+              << encode(message).size() + sealAndHeaders << "\n";
+}
+
+/// Bytes of one message each, with seal, UDP and IP headers.
+auto runSizeTable() -> void
+{
+    auto host = HostEntry {};
+    host.ip = "10.100.100.100";
+    host.headroom.resize(2);
+    auto renewal = RenewRequest {};
+    renewal.held.resize(2);
+    renewal.headroom.resize(2);
+    auto grant = RenewGrant {};
+    grant.slots.resize(2);
+    auto heartbeat = GossipMessage {};
+    heartbeat.zone = "christchurch-a";
+    heartbeat.sender = host;
+    heartbeat.steward.address.ip = host.ip;
+    std::cout << "bytes of a message\n";
+    printSize("renewal, 2 runs of slots, 2 pools", renewal);
+    printSize("its confirmation", grant);
+    printSize("loan ask, 1 bucket, 1 settlement", LoanAsk { 1, 1, { { 1, 1 } }, { { 1, 1, 0 } } });
+    printSize("loan grant, 1 bucket", LoanGrant { 1, 1, { { 1, 1 } } });
+    printSize("heartbeat without digests", heartbeat);
+    heartbeat.zones.resize(97);
+    printSize("heartbeat, 97 zone digests", heartbeat);
+    heartbeat.zones.resize(24);
+    heartbeat.members.resize(32);
+    printSize("heartbeat, 32 member and 24 zone digests", heartbeat);
+    std::cout << "a host's entry alone " << encode(host).size() << "\n";
+}
+
 } // namespace
 } // namespace citronloft
 
@@ -208,14 +245,20 @@
     auto options = po::options_description("fleet_bench");
     auto loss = 0.0;
     options.add_options()("loss", po::value(&loss), "part of the messages that get lost")(
-        "control", "control cost only")("lending", "lending strategies only");
+        "control", "control cost only")("lending", "lending strategies only")("sizes", "sizes of messages only");
     auto values = po::variables_map {};
     po::store(po::parse_command_line(argc, argv, options), values);
     po::notify(values);
     std::cout << std::fixed << std::setprecision(2);
-    if (!values.contains("lending"))
+    const auto isWanted = [&](const std::string& part) {
+        return values.contains(part)
+            || !(values.contains("control") || values.contains("lending") || values.contains("sizes"));
+    };
+    if (isWanted("control"))
         citronloft::runControlTable(loss);
-    if (!values.contains("control"))
+    if (isWanted("lending"))
         citronloft::runLendingTable();
+    if (isWanted("sizes"))
+        citronloft::runSizeTable();
     return 0;
 }
