--- a/cmake/CitronloftModule.cmake
+++ b/cmake/CitronloftModule.cmake
@@ -8,12 +8,10 @@
 
   add_library(citronloft_${name} STATIC ${sources})
   target_include_directories(citronloft_${name} PUBLIC "${CMAKE_SOURCE_DIR}/include")
-  target_compile_options(citronloft_${name} PRIVATE -Wall -Wextra -Werror)
   target_link_libraries(citronloft_${name} PUBLIC ${ARGN})
 
-  if(tests)
+  if(tests AND CITRONLOFT_BUILD_TESTS)
     add_executable(${name}_test ${tests})
-    target_compile_options(${name}_test PRIVATE -Wall -Wextra)
     target_compile_definitions(${name}_test PRIVATE CITRONLOFT_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
     target_include_directories(${name}_test PRIVATE "${CMAKE_SOURCE_DIR}/tests")
     target_link_libraries(${name}_test PRIVATE citronloft_${name} citronloft_check GTest::gtest GTest::gmock GTest::gtest_main rapidcheck)
--- a/include/citronloft/base/host_settings.hpp
+++ b/include/citronloft/base/host_settings.hpp
@@ -2,7 +2,9 @@
 /// @brief Settings of one host: its addresses, zone, platform, seeds and log.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -20,7 +22,25 @@
     std::uint16_t servicePort = 8080;
     std::uint16_t peerPort = 8070;
     std::uint16_t statusPort = 8090;
+    /// Port that answers whether the host is ready; 0: only the status port does.
+    std::uint16_t readyPort = 0;
+    /// Port of look-ups alone; 0: they come to the service port.
+    std::uint16_t lookupPort = 0;
     Address platform;
+    /// "objects" for the interface of docs/PLATFORM.md, or "fleet" for the adapter in platform/.
+    std::string adapter = "objects";
+    /// Region of each zone; needed by adapters whose configuration names no zones.
+    std::map<std::string, std::string> regionOfZone;
+    /// How long callers may cache a look-up's answer, for such adapters.
+    std::chrono::milliseconds lookupTtl { 3000 };
+    /// A planned stop has ended by then.
+    std::chrono::milliseconds stopTime { 60'000 };
+    /// Retries of all hosts together: part of the first attempts, and those beyond it within the window of the
+    /// platform.
+    double retryRatio = 0.1;
+    double retrySlack = 20;
+    /// Part of a region's requests that may move to another region within two seconds.
+    double shiftPart = 0.15;
     /// Shared by all hosts of the fleet, at least 16 characters.
     std::string fleetSecret;
     std::vector<Address> seeds;
@@ -30,6 +50,8 @@
     std::string queue = "fair";
     /// "fleet", "zone" or "none".
     std::string lending = "fleet";
+
+    auto operator==(const HostSettings&) const -> bool = default;
 };
 
 /// @brief Settings, or every fault that was found.
--- a/include/citronloft/base/result_code.hpp
+++ b/include/citronloft/base/result_code.hpp
@@ -47,6 +47,7 @@
     IdempotencyKeyInvalid = 2020,
     MethodUnsupported = 2021,
     PeerUnauthenticated = 2022,
+    TargetReplaced = 2023,
 
     AnswerCut = 3001,
     TargetTimeout = 3002,
--- a/include/citronloft/edge/call.hpp
+++ b/include/citronloft/edge/call.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "citronloft/base/result_code.hpp"
+#include "citronloft/edge/dialect.hpp"
 #include "citronloft/edge/http_server.hpp"
 #include "citronloft/fleet/config_follower.hpp"
 #include "citronloft/policy/key_table.hpp"
@@ -13,7 +14,8 @@
 
 namespace citronloft {
 
-inline constexpr auto keyHeader = "Citronloft-Key";
+/// Names the object that a request concerns, so that its requests go to the same target.
+inline constexpr auto objectHeader = "Citronloft-Object";
 inline constexpr auto deadlineHeader = "Citronloft-Deadline-Ms";
 inline constexpr auto outcomeHeader = "Citronloft-Outcome";
 inline constexpr auto codeHeader = "Citronloft-Code";
@@ -36,6 +38,11 @@
     const Team* team = nullptr;
     std::size_t teamIndex = 0;
     HttpRequest* request = nullptr;
+    /// Views into the request.
+    CallerFields fields;
+    /// Pool that the route's split gives the request to.
+    std::string pool;
+    TimePoint receivedAt;
     CallerContext* caller = nullptr;
     TimePoint deadline;
     bool isSpilled = false;
@@ -50,10 +57,11 @@
 
 /// @return the request as a target or another host may see it: without key, own fields and hop-by-hop fields, with team
 /// and remaining time.
-auto makeForwardedRequest(const Call& call, TimePoint now) -> HttpRequest;
+auto makeForwardedRequest(const Dialect& dialect, const Call& call, const std::string& instance, TimePoint now)
+    -> HttpRequest;
 
-/// @brief Leaves only what may be passed on; the server sets a length of its own wherever there is a body.
-auto cleanAnswer(HttpResponse& response, bool isHead) -> void;
+/// @return the number of milliseconds, at most an hour; nothing if `text` is no such number.
+auto parseMilliseconds(std::string_view text) -> std::optional<std::chrono::milliseconds>;
 
 /// @return whether the code proves that the request did not run.
 auto isRefusal(ResultCode code) -> bool;
--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -4,10 +4,13 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
+#include <pcg_random.hpp>
 
 #include "citronloft/base/counters.hpp"
 #include "citronloft/edge/call.hpp"
@@ -16,6 +19,7 @@
 #include "citronloft/edge/pool_admission.hpp"
 #include "citronloft/edge/spill_router.hpp"
 #include "citronloft/edge/target_prober.hpp"
+#include "citronloft/fleet/discovery.hpp"
 #include "citronloft/fleet/fleet_host.hpp"
 #include "citronloft/policy/retry.hpp"
 
@@ -27,6 +31,15 @@
 /// @brief Options of the callers' side.
 struct GatewayOption {
     std::string zone;
+    /// How callers and targets are spoken to; null: the project's own interface.
+    std::shared_ptr<const Dialect> dialect;
+    HttpClientOption client;
+    /// True: targets come from discovery, in all zones, and are sent to directly; nothing is forwarded to other hosts.
+    bool discoversTargets = false;
+    /// True: look-ups come to the service port too.
+    bool servesLookups = true;
+    /// True: a first attempt that takes far longer than usual is given up for a second one.
+    bool limitsFirstAttempt = true;
     std::string fleetSecret;
     QueueStrategy queue = QueueStrategy::Fair;
     FairQueueOption queueLimits;
@@ -47,9 +60,24 @@
     /// @brief Puts a configuration in force for all requests that arrive from now on.
     auto setConfig(std::shared_ptr<const ActiveConfig> active) -> void;
 
+    /// @brief Puts discovered targets in force.
+    auto setDiscovered(DiscoveredTargets targets) -> void;
+
+    /// @brief Sets the zones whose targets get no new requests.
+    auto setEvacuatedZones(std::set<std::string> zones) -> void;
+
+    /// @brief Sets how many hosts share retries and cold targets, and how retries are limited on each of them.
+    auto setRetryOption(RetryOption option) -> void;
+
+    /// @brief Sets how this host's part of a cold target's rate is found.
+    auto setColdPart(TargetPool::ColdPart part) -> void;
+
     /// @brief Answers one request.
     auto handle(HttpRequest& request, CallerContext& caller, boost::asio::yield_context yield) -> HttpResponse;
 
+    /// @brief Answers one look-up.
+    auto handleLookup(const HttpRequest& request, const CallerContext& caller) -> HttpResponse;
+
     /// @brief Runs queues, boundaries and headroom reports; to be called every 20 ms or so.
     auto tick() -> void;
 
@@ -78,6 +106,11 @@
     auto handleCaller(Call& call, boost::asio::yield_context yield) -> CallResult;
     auto handleSpilled(Call& call, boost::asio::yield_context yield) -> CallResult;
     auto authorize(Call& call) const -> ResultCode;
+    auto findPool(Call& call) -> void;
+    auto applyTargets(const Pool& pool) -> void;
+    [[nodiscard]] auto liveTargetsOf(const Pool& pool) const -> std::vector<LiveTarget>;
+    [[nodiscard]] auto distanceTo(const std::string& zone) const -> Distance;
+    auto wishOf(const Call& call) -> TargetWish;
     auto setDeadline(Call& call) const -> void;
     auto admitRate(const Call& call, boost::asio::yield_context yield) -> RateDecision;
     [[nodiscard]] auto isStillAuthorized(const Call& call) const -> bool;
@@ -86,15 +119,22 @@
     auto runAttempts(Call& call, boost::asio::yield_context yield) -> CallResult;
     auto runOnce(Call& call, PoolAdmission& admission, const std::string& target, bool mayRetry,
         boost::asio::yield_context yield) -> CallResult;
-    auto finish(CallResult result, TimePoint startedAt) -> HttpResponse;
+    auto refuseWithoutTarget(Call& call, ResultCode refusal, boost::asio::yield_context yield) -> CallResult;
+    auto readLoad(PoolAdmission& admission, const std::string& target, const TargetFields& fields) -> void;
+    auto finish(const HttpRequest& request, CallResult result, TimePoint startedAt) -> HttpResponse;
 
     boost::asio::io_context& context;
     const Clock& clock;
     Metrics& metrics;
     FleetHost& fleet;
     GatewayOption option;
+    std::shared_ptr<const Dialect> dialect;
     LookupService lookup;
-    RetryBudget retryBudget;
+    std::map<std::string, RetryBudget> retryBudgets;
+    TargetPool::ColdPart coldPart;
+    DiscoveredTargets discovered;
+    std::set<std::string> evacuatedZones;
+    pcg32 random;
     std::shared_ptr<HttpClient> client;
     TargetProber prober;
     SpillRouter spillRouter;
--- a/include/citronloft/edge/http_client.hpp
+++ b/include/citronloft/edge/http_client.hpp
@@ -66,6 +66,9 @@
     /// Pooled connections whose last answer is older than this are not used; zero: always a fresh connection.
     Duration reuseWithin = std::chrono::seconds { 20 };
     ExchangeCancel* cancel = nullptr;
+    /// Field by which an answer names its request; answers that name another one are skipped. Empty: not checked.
+    std::string idField {};
+    std::string id {};
     /// Connections to the address that may be open, idle ones included; at the limit an idle one is closed first.
     std::size_t connectionLimit = 1000;
 };
@@ -77,6 +80,10 @@
     /// Greatest age of a connection.
     std::chrono::seconds connectionAge { 120 };
     std::chrono::milliseconds connectTimeout { 1000 };
+    /// Time after which sent bytes that the peer does not acknowledge end the connection; 0: the system's default.
+    std::chrono::milliseconds acknowledgeTimeout { 0 };
+    /// True: idle and waiting connections are probed, so that one whose path has gone silent ends.
+    bool keepsAlive = false;
 };
 
 /// @brief Sends requests; every connection carries at most one request at a time.
--- a/include/citronloft/edge/http_server.hpp
+++ b/include/citronloft/edge/http_server.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/spawn.hpp>
 
 #include "citronloft/base/address.hpp"
+#include "citronloft/base/config.hpp"
 #include "citronloft/base/result_code.hpp"
 #include "citronloft/edge/http_message.hpp"
 
@@ -55,7 +56,9 @@
     std::function<void(ResultCode)> onRefusal;
 };
 
-/// @brief An HTTP server; its connections live until they close or the server is destroyed.
+/// @brief An HTTP server. Requests of one connection are handled side by side and answered in their order.
+///
+/// Its connections live until they close or the server is destroyed.
 class HttpServer {
 public:
     using Handler = std::function<HttpResponse(HttpRequest&, CallerContext&, boost::asio::yield_context)>;
@@ -68,6 +71,9 @@
     /// @brief Stops accepting and closes connections that carry no request.
     virtual auto closeIdle() -> void = 0;
 
+    /// @brief Puts other limits in force for requests that are read from now on.
+    virtual auto setLimits(const CallerLimits& limits) -> void = 0;
+
     /// @return requests that have been read in part or whole and not yet answered.
     [[nodiscard]] virtual auto inFlight() const -> std::size_t = 0;
 
--- a/include/citronloft/edge/lookup_service.hpp
+++ b/include/citronloft/edge/lookup_service.hpp
@@ -1,10 +1,13 @@
 /// @file
-/// @brief Answers look-ups from bodies that are built ahead, a few times a second.
+/// @brief Answers look-ups from answers that are kept until a zone's hosts change.
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
+#include <vector>
 
+#include "citronloft/edge/dialect.hpp"
 #include "citronloft/edge/http_message.hpp"
 #include "citronloft/fleet/config_follower.hpp"
 #include "citronloft/fleet/membership.hpp"
@@ -18,7 +21,8 @@
 /// @brief Look-ups of one host.
 class LookupService {
 public:
-    LookupService(const Membership& membership, std::string zone);
+    /// @param dialect outlives the service.
+    LookupService(const Membership& membership, const Dialect& dialect, std::string zone);
 
     /// @brief Puts a configuration in force.
     auto setConfig(const ActiveConfig& active) -> void;
@@ -28,22 +32,30 @@
 
     /// @param callerIp used if the query names no client.
     /// @return the answer; status 503 without a body if no zone may take the caller now.
-    [[nodiscard]] auto answer(const HttpRequest& request, const std::string& callerIp) const -> HttpResponse;
+    auto answer(const HttpRequest& request, const std::string& callerIp) -> HttpResponse;
 
     [[nodiscard]] auto planner() const -> const LookupPlanner& { return this->plan; }
 
 private:
-    [[nodiscard]] auto isUp(const std::string& zone) const -> bool { return this->bodies.contains(zone); }
-    auto buildBody(const std::string& zone) -> void;
+    /// What callers of one zone's hosts are told.
+    struct ZoneHosts {
+        std::vector<std::string> hosts;
+        /// Built when it is first asked for.
+        std::optional<HttpResponse> response;
+    };
+
+    [[nodiscard]] auto isUp(const std::string& zone) const -> bool { return this->zoneHosts.contains(zone); }
+    auto updateHosts(const std::string& zone) -> void;
 
     const Membership& membership;
+    const Dialect& dialect;
     std::string ownZone;
     LookupPlanner plan;
     std::vector<std::string> zoneNames;
     std::chrono::milliseconds ttl {};
     std::uint64_t version = 0;
-    /// Answer bodies of zones with live hosts.
-    std::map<std::string, std::string> bodies;
+    /// Zones with live hosts.
+    std::map<std::string, ZoneHosts> zoneHosts;
     TimePoint nextBuildAt {};
 };
 
--- a/include/citronloft/edge/pool_admission.hpp
+++ b/include/citronloft/edge/pool_admission.hpp
@@ -24,13 +24,12 @@
     std::size_t team = 0;
     std::uint32_t weight = 1;
     TimePoint deadline;
-    /// Target to leave out if there is another.
-    std::string avoid;
+    TargetWish wish;
 };
 
 /// @brief A target with a slot, or the reason why there is none.
 struct SlotDecision {
-    /// Empty if refused.
+    /// Key of the target; empty if refused.
     std::string target;
     ResultCode refusal = ResultCode::NoTarget;
 };
@@ -62,7 +61,10 @@
     [[nodiscard]] auto queued() const -> std::size_t { return this->queue->size(); }
 
 private:
-    using SlotWaiter = Waiter<SlotDecision>;
+    struct SlotWaiter {
+        Waiter<SlotDecision> decision;
+        TargetWish wish;
+    };
 
     auto dispatch() -> void;
 
--- a/include/citronloft/edge/spill_router.hpp
+++ b/include/citronloft/edge/spill_router.hpp
@@ -32,7 +32,7 @@
 class SpillRouter {
 public:
     SpillRouter(const Clock& clock, Metrics& metrics, FleetHost& fleet, std::shared_ptr<HttpClient> client,
-        SpillRouterOption option);
+        const Dialect& dialect, SpillRouterOption option);
 
     /// @param localRefusal why this zone can't run the request; the result if nobody is asked.
     auto forward(Call& call, ResultCode localRefusal, boost::asio::yield_context yield) -> CallResult;
@@ -50,6 +50,7 @@
     Metrics& metrics;
     FleetHost& fleet;
     std::shared_ptr<HttpClient> client;
+    const Dialect& dialect;
     SpillRouterOption option;
     SpillSigner signer;
 };
--- a/include/citronloft/fleet/config_follower.hpp
+++ b/include/citronloft/fleet/config_follower.hpp
@@ -49,6 +49,13 @@
     ConfigFollower(const Clock& clock, Membership& membership, PeerTransport& transport,
         std::shared_ptr<ObjectStore> store, std::shared_ptr<ConfigFetcher> fetcher, InForce inForce);
 
+    /// @brief Puts a configuration in force that this host has read from a platform itself.
+    auto offer(std::uint64_t version, Config config) -> void;
+
+    /// @brief Leaves the store's manifest alone: configurations come by offer(), and from a peer only if it has been
+    /// ahead for `patience`.
+    auto followOffers(Duration patience) -> void;
+
     /// @brief Takes in a peer's notice of a newer version.
     auto receive(const ConfigNotice& notice, const Address& from, TimePoint now) -> void;
 
@@ -90,6 +97,11 @@
     RecordsDigest digest;
     std::deque<ConfigUpdate> recent;
     std::uint64_t watchedVersion = absentVersion;
+    /// Configurations come by offer().
+    bool isOffered = false;
+    Duration fetchPatience {};
+    /// Since when a peer has named a newer version; the default means that none does.
+    TimePoint behindSince {};
     bool isWatching = false;
     bool isFetching = false;
     TimePoint nextWatchAt {};
--- a/include/citronloft/fleet/fleet_host.hpp
+++ b/include/citronloft/fleet/fleet_host.hpp
@@ -8,6 +8,7 @@
 
 #include "citronloft/fleet/claim_registry.hpp"
 #include "citronloft/fleet/config_follower.hpp"
+#include "citronloft/fleet/even_shares.hpp"
 #include "citronloft/fleet/membership.hpp"
 #include "citronloft/fleet/rate_limiter.hpp"
 #include "citronloft/fleet/share_holder.hpp"
@@ -15,8 +16,21 @@
 
 namespace citronloft {
 
+/// @brief How hosts come to their parts of the rates.
+enum class ShareStrategy : std::uint8_t {
+    /// A steward in each zone gives slots out by lease: the bound holds whatever hosts know of each other.
+    Leased,
+    /// Every host computes its even part; no message and no store is needed, also right after all hosts restarted.
+    Even,
+};
+
 /// @brief Options of a host's fleet components.
 struct FleetHostOption {
+    ShareStrategy shares = ShareStrategy::Leased;
+    /// True: configurations are offered by whoever reads the platform, and the manifest is not watched.
+    bool isConfigOffered = false;
+    /// Time that a peer may be ahead before an offered configuration is fetched from it.
+    Duration fetchPatience = std::chrono::seconds { 1 };
     MembershipOption membership;
     LeaseTerms lease;
     RateLimiterOption rates;
@@ -66,9 +80,12 @@
 private:
     class LenderList;
 
+    [[nodiscard]] auto usableSlots(TimePoint now) -> std::vector<SlotRange>;
     auto putInForce(const std::shared_ptr<const ActiveConfig>& active) -> void;
 
+    FleetHostOption option;
     FleetSurroundings surroundings;
+    EvenShares evenShares;
     Membership members;
     std::unique_ptr<LenderList> lenders;
     std::shared_ptr<ShareHolder> holder;
--- /dev/null
+++ b/include/citronloft/fleet/object_mirror.hpp
@@ -0,0 +1,118 @@
+/// @file
+/// @brief A copy of all objects of one kind, kept up to date by a watch.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <absl/status/statusor.h>
+#include <pcg_random.hpp>
+
+#include "citronloft/base/clock.hpp"
+
+namespace citronloft {
+
+/// @brief An object as the store shows it; the body is for a decoder.
+struct MirroredObject {
+    std::string name;
+    std::uint64_t revision = 0;
+    std::string body;
+    /// In events: the object is gone.
+    bool isDeleted = false;
+};
+
+/// @brief Objects or events, and the store's revision that they stand for.
+struct ObjectBatch {
+    std::vector<MirroredObject> objects;
+    /// Lists only: further objects follow the last one.
+    bool hasMore = false;
+    std::uint64_t revision = 0;
+};
+
+/// @brief Reads of a store with lists and watches.
+///
+/// Status of a call: OutOfRange (the history that a watch asked for is gone), Unavailable, DeadlineExceeded.
+class ObjectFeed {
+public:
+    using Done = std::function<void(absl::StatusOr<ObjectBatch>)>;
+
+    virtual ~ObjectFeed() = default;
+
+    /// @brief Lists objects in the order of their names, from the one behind `after` on.
+    virtual auto list(const std::string& kind, const std::string& after, Done done) -> void = 0;
+
+    /// @brief Answers with the events after `revision`, without events when `wait` has passed.
+    virtual auto watch(const std::string& kind, std::uint64_t revision, Duration wait, Done done) -> void = 0;
+};
+
+/// @brief Intervals of a mirror.
+struct ObjectMirrorOption {
+    std::string kind;
+    /// Time that a watch may wait; the longest that the store allows, since every watch is a counted call.
+    Duration watchWait = std::chrono::seconds { 30 };
+    /// Pause between two watches, so that the events of a burst arrive in one call.
+    Duration pause = std::chrono::milliseconds { 150 };
+    /// First and greatest pause after failures.
+    Duration leastBackoff = std::chrono::milliseconds { 100 };
+    Duration greatestBackoff = std::chrono::milliseconds { 1600 };
+    /// After the store was away, objects that are missing are kept for so long: their owners may not have written yet.
+    Duration returnGrace = std::chrono::seconds { 2 };
+};
+
+/// @brief Mirrors one kind. Revisions never fall; a list that is older than what is known is not believed.
+class ObjectMirror : public std::enable_shared_from_this<ObjectMirror> {
+public:
+    using Objects = std::map<std::string, MirroredObject>;
+    using Changed = std::function<void(const Objects&)>;
+
+    ObjectMirror(ObjectMirrorOption option, const Clock& clock, std::shared_ptr<ObjectFeed> feed, std::uint64_t seed,
+        Changed changed);
+
+    /// @brief Starts calls that are due and drops objects whose time has come; to be called every 20 ms or so.
+    auto tick(TimePoint now) -> void;
+
+    /// @return whether a whole list has been read.
+    [[nodiscard]] auto isReady() const -> bool { return this->isListed; }
+
+    /// @return when the store last answered.
+    [[nodiscard]] auto answeredAt() const -> TimePoint { return this->lastAnswerAt; }
+
+    [[nodiscard]] auto objects() const -> const Objects& { return this->known; }
+
+private:
+    auto startList(const std::string& after) -> void;
+    auto startWatch() -> void;
+    auto takeList(absl::StatusOr<ObjectBatch> batch) -> void;
+    auto takeEvents(absl::StatusOr<ObjectBatch> batch) -> void;
+    auto finishList(std::uint64_t listRevision) -> void;
+    auto removeOrKeep(const std::string& name, TimePoint now) -> bool;
+    auto noteAnswer() -> void;
+    auto noteFailure(const absl::Status& status) -> void;
+
+    ObjectMirrorOption option;
+    const Clock& clock;
+    std::shared_ptr<ObjectFeed> feed;
+    pcg32 random;
+    Changed changed;
+    Objects known;
+    /// Objects of the list that is being read.
+    Objects reading;
+    /// Missing objects that are kept until then.
+    std::map<std::string, TimePoint> keptUntil;
+    std::uint64_t revision = 0;
+    std::uint64_t listRevision = 0;
+    bool isListed = false;
+    bool mustList = true;
+    bool isCalling = false;
+    TimePoint nextCallAt {};
+    Duration backoff {};
+    TimePoint lastAnswerAt {};
+    TimePoint returnedAt {};
+    bool wasAway = false;
+};
+
+} // namespace citronloft
--- a/include/citronloft/policy/lookup_planner.hpp
+++ b/include/citronloft/policy/lookup_planner.hpp
@@ -34,6 +34,11 @@
     /// @return zone whose hosts the caller should use, or nothing if it has to wait.
     [[nodiscard]] auto zoneFor(const std::string& ip, const ZoneIsUp& isUp) const -> std::optional<std::string>;
 
+    /// @param ip caller's IP number, which places it among the zone's callers.
+    /// @return the same for a caller that names its zone; an unknown zone counts as this host's own.
+    [[nodiscard]] auto zoneFor(const std::string& zone, const std::string& ip, const ZoneIsUp& isUp) const
+        -> std::optional<std::string>;
+
     /// @return part of a zone's callers that are sent elsewhere.
     [[nodiscard]] auto movedPart(const std::string& zone) const -> double;
 
@@ -43,6 +48,8 @@
         ShiftBoundary boundary;
     };
 
+    [[nodiscard]] auto zoneFor(std::size_t homeIndex, const std::string& ip, const ZoneIsUp& isUp) const
+        -> std::optional<std::string>;
     [[nodiscard]] auto speedOf(const ZoneState& state, const ZoneIsUp& isUp) const -> double;
     [[nodiscard]] auto takesCallers(const ZoneState& state, const ZoneIsUp& isUp) const -> bool;
     [[nodiscard]] auto alternativeTo(const ZoneState& home, double position, const ZoneIsUp& isUp) const
--- a/include/citronloft/policy/retry.hpp
+++ b/include/citronloft/policy/retry.hpp
@@ -11,8 +11,6 @@
 
 /// @brief Limits on repeated attempts.
 struct RetryOption {
-    /// Attempts of one request, the first included.
-    unsigned attempts = 3;
     /// Retries that each first attempt earns.
     double budgetRatio = 0.1;
     /// Retries that may be saved up.
@@ -26,6 +24,8 @@
     /// Attempts made so far.
     unsigned attempts = 1;
     TimePoint deadline;
+    /// Attempts that the request may make, the first included.
+    unsigned greatestAttempts = 3;
 };
 
 /// @brief Decides on retries; a retry is paid from a budget that first attempts fill.
@@ -33,6 +33,9 @@
 public:
     explicit RetryBudget(RetryOption option = {});
 
+    /// @brief Changes the limits; saved retries beyond the new cap are dropped.
+    auto setOption(RetryOption changed) -> void;
+
     /// @brief Records a first attempt.
     auto recordFirstAttempt() -> void;
 
--- a/include/citronloft/policy/route_table.hpp
+++ b/include/citronloft/policy/route_table.hpp
@@ -17,9 +17,12 @@
     /// @param config outlives the table.
     explicit RouteTable(const Config& config);
 
+    /// @param host host name of the request, a port is ignored.
     /// @param target path and query of the request.
-    /// @return the route with the longest matching prefix that takes `method`, or null.
-    [[nodiscard]] auto find(std::string_view method, std::string_view target) const -> const Route*;
+    /// @return the route with the longest matching prefix that takes `method`, or null; among equal prefixes a route
+    /// of the host name itself goes first.
+    [[nodiscard]] auto find(std::string_view method, std::string_view host, std::string_view target) const
+        -> const Route*;
 
 private:
     std::vector<const Route*> routes;
--- a/include/citronloft/policy/target_pool.hpp
+++ b/include/citronloft/policy/target_pool.hpp
@@ -1,9 +1,9 @@
 /// @file
-/// @brief Chooses the target of a request: two random choices, by what this host sees itself before what targets
-/// report.
+/// @brief Chooses the target of a request by what this host sees itself before what targets report.
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -13,6 +13,7 @@
 
 #include "citronloft/base/clock.hpp"
 #include "citronloft/base/config.hpp"
+#include "citronloft/policy/live_target.hpp"
 #include "citronloft/policy/target_health.hpp"
 
 namespace citronloft {
@@ -33,6 +34,17 @@
     Duration reportMaxAge = std::chrono::seconds { 3 };
     /// A target that shed lately is not believed to be idle.
     Duration distrustAfterShed = std::chrono::seconds { 2 };
+    /// Factor on a target's limit after each shed.
+    double shedBackoff = 0.5;
+    /// True: an ejected target is tried again by a request once its ejection is over, without a probe.
+    bool returnsWithoutProbe = false;
+    /// Weight of a target by its distance when objects are spread: own zone, own region, other regions. The ratios
+    /// weigh the price and the time of a hop against an even use of targets.
+    double zoneWeight = 16;
+    double regionWeight = 4;
+    double remoteWeight = 1;
+    /// Requests waiting at a target, as a part of its slots, up to which more are sent there when no slot is free.
+    double queueAtTarget = 0.35;
 };
 
 /// @brief How a request ended at its target, as far as the target's health is concerned.
@@ -40,10 +52,14 @@
     Answered,
     /// The target said that it did not run the request.
     Shed,
-    /// No connection, no whole answer, or an answer of 5xx.
+    /// No whole answer, or an answer of 5xx.
     Failed,
     /// The caller went away; says nothing of the target.
     Abandoned,
+    /// No connection could be opened in time.
+    Unreachable,
+    /// Another server has the target's address.
+    Misdirected,
 };
 
 /// @brief What a target says of itself.
@@ -52,6 +68,16 @@
     bool draining = false;
 };
 
+/// @brief What a request asks of its target.
+struct TargetWish {
+    /// Keys of targets to leave out.
+    std::vector<std::string> avoid;
+    /// Hash of the object that the request concerns; unset: the request goes to the less loaded of two targets.
+    std::optional<std::uint64_t> object;
+    /// Regions in which the request may run; empty: all.
+    std::vector<std::string> regions;
+};
+
 /// @brief A target as status pages show it.
 struct TargetView {
     std::string address;
@@ -60,34 +86,55 @@
     std::uint32_t limit = 0;
 };
 
-/// @brief The targets of one pool in one zone.
+/// @brief The targets of one pool that this host may send to.
+///
+/// Objects are spread by weighted rendezvous hashing, so that all hosts of a zone agree on an object's target without
+/// talking; a target whose load has reached its slots is passed over (consistent hashing with bounded loads).
 class TargetPool {
 public:
+    /// @brief Requests per second that this host may send to a cold target.
+    using ColdPart = std::function<double(const LiveTarget&)>;
+
     TargetPool(TargetPoolOption option, std::uint64_t seed);
 
-    /// @brief Puts a configuration in force; targets that stay keep their state.
+    /// @brief Puts fixed targets in force; targets that stay keep their state.
     auto setTargets(const std::vector<Target>& targets, TimePoint now) -> void;
 
+    /// @brief Puts discovered targets in force; incarnations that stay keep their state.
+    auto setLiveTargets(const std::vector<LiveTarget>& targets, TimePoint now) -> void;
+
     /// @param part part of every target's slots and connections that belongs to this host, from 0 to 1.
     auto setHostPart(double part) -> void { this->hostPart = part; }
 
+    /// @brief Sets how this host's part of a cold target's rate is found; without it the whole rate is used.
+    auto setColdPart(ColdPart part) -> void { this->coldPart = std::move(part); }
+
     /// @brief Chooses a target with room and counts the request as in flight there.
     /// @param avoid address to leave out unless there is no other, for retries.
-    /// @return the target's address, or nothing if no usable target has room.
+    /// @return the target's key, or nothing if no usable target has room.
     auto acquire(const std::string& avoid, TimePoint now) -> std::optional<std::string>;
 
+    /// @brief Chooses a target for a request with wishes and counts the request as in flight there.
+    auto acquireFor(const TargetWish& wish, TimePoint now) -> std::optional<std::string>;
+
     /// @brief Ends a request.
-    auto release(const std::string& address, TargetResult result, Duration latency, TimePoint now) -> void;
+    auto release(const std::string& key, TargetResult result, Duration latency, TimePoint now) -> void;
 
     /// @brief Takes in a target's own report.
-    auto report(const std::string& address, TargetReport report, TimePoint now) -> void;
+    auto report(const std::string& key, TargetReport report, TimePoint now) -> void;
 
     /// @brief Takes in the result of a probe.
-    auto probed(const std::string& address, bool ok, TimePoint now) -> void;
+    auto probed(const std::string& key, bool ok, TimePoint now) -> void;
+
+    /// @return the target of a key, or null if it has left the pool.
+    [[nodiscard]] auto target(const std::string& key) const -> const LiveTarget*;
 
     /// @return whether some target could take a request, now or when others end.
     [[nodiscard]] auto isUsable(TimePoint now) const -> bool;
 
+    /// @return whether acquire() without wishes would find a target.
+    [[nodiscard]] auto hasRoom(TimePoint now) const -> bool;
+
     /// @return requests that could be started now.
     [[nodiscard]] auto freeSlots(TimePoint now) const -> std::uint32_t;
 
@@ -98,39 +145,62 @@
     [[nodiscard]] auto serviceTime() const -> Duration { return this->meanLatency; }
 
     /// @return connections that this host may have open to a target.
-    [[nodiscard]] auto connectionLimit(const std::string& address) const -> std::uint32_t;
+    [[nodiscard]] auto connectionLimit(const std::string& key) const -> std::uint32_t;
 
     [[nodiscard]] auto views(TimePoint now) const -> std::vector<TargetView>;
 
 private:
     struct Member {
-        Target target;
+        LiveTarget live;
+        std::string key;
+        /// Hash of the key, the target's part of every rendezvous score.
+        std::uint64_t hash = 0;
         std::unique_ptr<TargetHealth> health;
         std::uint32_t inFlight = 0;
         unsigned failures = 0;
         unsigned ejections = 0;
-        /// Limit after sheds: halved by each, grown back by answers.
+        /// Limit after sheds: reduced by each, grown back by answers.
         double shedFactor = 1;
         TimePoint rampStartedAt {};
         TimePoint ejectedUntil {};
         TimePoint shedAt {};
         TimePoint reportedAt {};
         std::uint32_t reportedInFlight = 0;
+        /// Requests of other hosts at the last report.
+        std::uint32_t othersInFlight = 0;
         bool reportedDraining = false;
+        bool isMisdirected = false;
+        /// Tokens of the cold rate.
+        double coldTokens = 0;
+        TimePoint coldTokensAt {};
+    };
+
+    struct Scored {
+        double score = 0;
+        Member* member = nullptr;
     };
 
-    auto find(const std::string& address) -> Member*;
+    auto find(const std::string& key) -> Member*;
+    [[nodiscard]] auto find(const std::string& key) const -> const Member*;
+    auto chooseByTwo(const TargetWish& wish, TimePoint now) -> Member*;
+    auto chooseByObject(const TargetWish& wish, std::uint64_t object, TimePoint now) -> Member*;
+    auto take(Member& member, TimePoint now) -> std::string;
+    auto refillCold(Member& member, TimePoint now) -> void;
+    auto isOpen(Member& member, const TargetWish& wish, TimePoint now) -> bool;
     auto updateDrain(Member& member) -> void;
-    auto recordFailure(Member& member, TimePoint now) -> void;
+    auto recordFailure(Member& member, unsigned weight, TimePoint now) -> void;
     auto recordAnswer(Member& member, TimePoint now) -> void;
+    auto endEjection(Member& member, TimePoint now) -> void;
     [[nodiscard]] auto mayEject() const -> bool;
     [[nodiscard]] auto takesWork(const Member& member) const -> bool;
     [[nodiscard]] auto limitOf(const Member& member, TimePoint now) const -> std::uint32_t;
     [[nodiscard]] auto loadOf(const Member& member, TimePoint now) const -> double;
+    [[nodiscard]] auto weightOf(const Member& member) const -> double;
 
     TargetPoolOption option;
     pcg32 random;
     std::vector<Member> members;
+    ColdPart coldPart;
     double hostPart = 1;
     Duration meanLatency = std::chrono::milliseconds { 5 };
 };
--- a/programs/citronloftd/components.cpp
+++ b/programs/citronloftd/components.cpp
@@ -81,25 +81,25 @@
         this->host.service->closeIdle();
 }
 
-StatusComponent::StatusComponent(Host& host)
+PortComponent::PortComponent(Host& host, std::uint16_t port, Handler handler)
     : host(host)
+    , port(port)
+    , handler(std::move(handler))
 {
 }
 
-auto StatusComponent::start() -> absl::Status
+auto PortComponent::start() -> absl::Status
 {
-    const auto handler = [this](const HttpRequest& request, CallerContext&, const boost::asio::yield_context&) {
-        return this->host.handleStatus(request);
-    };
-    const auto& settings = this->host.settings;
-    auto made = makeHttpServer(this->host.context, { settings.ip, settings.statusPort }, handler);
+    const auto handle = [this](const HttpRequest& request, const CallerContext& caller,
+                            const boost::asio::yield_context&) { return this->handler(request, caller); };
+    auto made = makeHttpServer(this->host.context, { this->host.settings.ip, this->port }, handle);
     if (!made.ok())
         return made.status();
     this->server = *made;
     return absl::OkStatus();
 }
 
-auto StatusComponent::stop() -> void
+auto PortComponent::stop() -> void
 {
     if (this->server)
         this->server->closeIdle();
--- a/programs/citronloftd/components.hpp
+++ b/programs/citronloftd/components.hpp
@@ -34,16 +34,20 @@
     Host& host;
 };
 
-/// @brief The operators' port: /healthz, /status and /metrics.
-class StatusComponent final : public Component {
+/// @brief A port beside the callers' one: status pages, readiness or look-ups.
+class PortComponent final : public Component {
 public:
-    explicit StatusComponent(Host& host);
+    using Handler = std::function<HttpResponse(const HttpRequest&, const CallerContext&)>;
+
+    PortComponent(Host& host, std::uint16_t port, Handler handler);
 
     auto start() -> absl::Status override;
     auto stop() -> void override;
 
 private:
     Host& host;
+    std::uint16_t port;
+    Handler handler;
     std::shared_ptr<HttpServer> server;
 };
 
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -9,6 +9,7 @@
 #include "citronloft/edge/http_object_store.hpp"
 #include "citronloft/fleet/slot_map.hpp"
 #include "components.hpp"
+#include "platform.hpp"
 
 namespace citronloft {
 
@@ -16,8 +17,27 @@
 
 /// After the callers' cached look-ups have run out, time for requests that are on their way.
 constexpr auto stopGrace = std::chrono::milliseconds { 1000 };
-/// A planned stop that has not drained by then ends all the same.
-constexpr auto greatestStopTime = std::chrono::seconds { 60 };
+/// The wait for cached look-ups leaves this part of the time for a stop to the last requests.
+constexpr auto stopReserveDivisor = 4;
+/// A planned stop that has not drained by this part of its time ends all the same.
+constexpr auto stopOverduePercent = 95;
+constexpr auto percent = 100.0;
+/// The platform bounds moves between regions by windows of two seconds.
+constexpr auto shiftWindowsPerMinute = 30.0;
+/// Parts of the platform's bounds that are used, since hosts do not know each other's state exactly.
+constexpr auto shiftReserve = 0.6;
+constexpr auto retryReserve = 0.6;
+constexpr auto coldReserve = 0.8;
+/// Hosts that feed a cold target. Each may send one request at once, so few hosts keep the sum near the rate.
+constexpr auto coldFeeders = std::size_t { 3 };
+constexpr auto retryShareInterval = std::chrono::seconds { 1 };
+/// Twice the longest round trip between two regions that a deployment names, 110 ms, and some time for a busy target.
+constexpr auto targetConnectTimeout = std::chrono::milliseconds { 400 };
+constexpr auto targetSilenceTimeout = std::chrono::milliseconds { 1000 };
+/// A target that shed counts as full for about the time in which one of its slots becomes free.
+constexpr auto shedPause = std::chrono::milliseconds { 150 };
+/// Hosts of another zone that a summary names; all of the largest zone of today.
+constexpr auto hostsPerSummary = std::size_t { 24 };
 constexpr auto exitClean = 0;
 constexpr auto exitFailed = 1;
 constexpr auto exitNotDrained = 3;
@@ -61,21 +81,92 @@
     if (!made.ok())
         return made.status();
     this->transport = *made;
-    auto storeOption = HttpObjectStoreOption {};
-    storeOption.address = this->settings.platform;
-    const auto surroundings = FleetSurroundings { this->clock, *this->transport,
-        makeHttpObjectStore(this->context, this->clock, this->metrics, storeOption),
+    const auto surroundings = this->makeSurroundings();
+    this->fleet = std::make_unique<FleetHost>(this->fleetOption(), entryOf(this->settings, this->incarnation),
+        surroundings, randomId(), [this](const auto& active) { this->onConfig(active); });
+    this->gateway
+        = std::make_unique<Gateway>(this->context, this->clock, this->metrics, *this->fleet, this->gatewayOption());
+    this->startDiscovery();
+    this->addComponents();
+    const auto status = this->supervisor->start();
+    if (status.ok())
+        LogEvent(LogLevel::Info, "host-started").with("zone", this->settings.zone).with("ip", this->settings.ip);
+    return status;
+}
+
+auto Host::makeSurroundings() -> FleetSurroundings
+{
+    if (this->usesAdapter()) {
+        auto option = PlatformOption {};
+        option.address = this->settings.platform;
+        option.regionOfZone = this->settings.regionOfZone;
+        option.lookupTtl = this->settings.lookupTtl;
+        option.shiftPercentPerMinute = this->settings.shiftPart * percent * shiftWindowsPerMinute * shiftReserve;
+        this->platform = makeFleetPlatform(this->context, this->clock, this->metrics, std::move(option));
+    } else {
+        auto option = HttpObjectStoreOption {};
+        option.address = this->settings.platform;
+        this->platform.store = makeHttpObjectStore(this->context, this->clock, this->metrics, option);
+    }
+    return { this->clock, *this->transport, this->platform.store,
         makeConfigFetcher(this->context, this->settings.fleetSecret) };
+}
+
+auto Host::fleetOption() const -> FleetHostOption
+{
     auto option = FleetHostOption {};
     option.membership.seeds = this->settings.seeds;
     option.rates.strategy = lendingOf(this->settings.lending);
-    this->fleet = std::make_unique<FleetHost>(option, entryOf(this->settings, this->incarnation), surroundings,
-        randomId(), [this](const auto& active) { this->onConfig(active); });
-    auto gatewayOption = GatewayOption {};
-    gatewayOption.zone = this->settings.zone;
-    gatewayOption.fleetSecret = this->settings.fleetSecret;
-    gatewayOption.queue = this->settings.queue == "fifo" ? QueueStrategy::Fifo : QueueStrategy::Fair;
-    this->gateway = std::make_unique<Gateway>(this->context, this->clock, this->metrics, *this->fleet, gatewayOption);
+    if (!this->usesAdapter())
+        return option;
+    option.shares = ShareStrategy::Even;
+    option.isConfigOffered = true;
+    option.membership.hostsPerSummary = hostsPerSummary;
+    return option;
+}
+
+auto Host::gatewayOption() const -> GatewayOption
+{
+    auto option = GatewayOption {};
+    option.zone = this->settings.zone;
+    option.fleetSecret = this->settings.fleetSecret;
+    option.queue = this->settings.queue == "fifo" ? QueueStrategy::Fifo : QueueStrategy::Fair;
+    if (!this->usesAdapter())
+        return option;
+    option.dialect = this->platform.dialect;
+    option.discoversTargets = true;
+    option.servesLookups = false;
+    option.limitsFirstAttempt = false;
+    option.client.connectTimeout = targetConnectTimeout;
+    option.client.acknowledgeTimeout = targetSilenceTimeout;
+    option.targets.returnsWithoutProbe = true;
+    option.targets.rampTime = std::chrono::milliseconds { 1 };
+    option.targets.overcommit = 1;
+    option.targets.shedBackoff = 1;
+    option.targets.distrustAfterShed = shedPause;
+    return option;
+}
+
+auto Host::startDiscovery() -> void
+{
+    if (!this->usesAdapter())
+        return;
+    this->gateway->setColdPart([this](const LiveTarget& target) { return this->coldPartOf(target); });
+    auto listener = DiscoveryListener {};
+    listener.onConfig
+        = [this](ActiveConfig active) { this->fleet->config().offer(active.version, std::move(active.config)); };
+    listener.onTargets = [this](DiscoveredTargets targets) { this->gateway->setDiscovered(std::move(targets)); };
+    listener.onEvacuatedZones = [this](std::set<std::string> zones) {
+        for (const auto& zone : zones)
+            LogEvent(LogLevel::Info, "zone-evacuated").with("zone", zone);
+        this->gateway->setEvacuatedZones(std::move(zones));
+    };
+    this->discovery = std::make_unique<Discovery>(
+        this->clock, this->metrics, this->platform.feed, this->platform.decoder, randomId(), std::move(listener));
+}
+
+auto Host::addComponents() -> void
+{
     this->supervisor = std::make_unique<Supervisor>(
         this->context, this->clock, SupervisorOption {}, [this](const absl::Status& reason) {
             LogEvent(LogLevel::Error, "host-failed").with("reason", reason.ToString());
@@ -83,12 +174,19 @@
         });
     this->supervisor->add("fleet", std::make_shared<FleetComponent>(*this));
     this->supervisor->add("service", std::make_shared<ServiceComponent>(*this));
-    this->supervisor->add("status", std::make_shared<StatusComponent>(*this));
-    this->supervisor->add("probe", std::make_shared<ProbeComponent>(*this));
-    const auto status = this->supervisor->start();
-    if (status.ok())
-        LogEvent(LogLevel::Info, "host-started").with("zone", this->settings.zone).with("ip", this->settings.ip);
-    return status;
+    const auto addPort = [this](const char* name, std::uint16_t port, PortComponent::Handler handler) {
+        if (port != 0)
+            this->supervisor->add(name, std::make_shared<PortComponent>(*this, port, std::move(handler)));
+    };
+    addPort("status", this->settings.statusPort,
+        [this](const HttpRequest& request, const CallerContext&) { return this->handleStatus(request); });
+    addPort("ready", this->settings.readyPort,
+        [this](const HttpRequest&, const CallerContext&) { return this->handleReady(); });
+    addPort("lookup", this->settings.lookupPort, [this](const HttpRequest& request, const CallerContext& caller) {
+        return this->gateway->handleLookup(request, caller);
+    });
+    if (!this->usesAdapter())
+        this->supervisor->add("probe", std::make_shared<ProbeComponent>(*this));
 }
 
 auto Host::stop() -> void
@@ -101,36 +199,92 @@
     this->leavingSince = this->clock.now();
     const auto active = this->fleet->config().active();
     const auto ttl = active ? active->config.settings.lookupTtl : std::chrono::milliseconds { 0 };
-    this->quietUntil = this->leavingSince + ttl + stopGrace;
+    const auto greatestWait = this->settings.stopTime - this->settings.stopTime / stopReserveDivisor;
+    this->quietUntil = this->leavingSince + std::min<std::chrono::milliseconds>(ttl + stopGrace, greatestWait);
     this->fleet->leave();
     this->service->closeAfterAnswers();
     LogEvent(LogLevel::Info, "host-leaving").with("lookup_ttl_ms", ttl.count());
 }
 
+auto Host::reload(const HostSettings& changed) -> void
+{
+    const auto isSame = changed == this->settings;
+    LogEvent(LogLevel::Info, "settings-reloaded").with("changed", isSame ? 0 : 1);
+    this->settings.retryRatio = changed.retryRatio;
+    this->settings.retrySlack = changed.retrySlack;
+    this->settings.stopTime = changed.stopTime;
+    this->nextRetryShareAt = TimePoint {};
+}
+
+/// The fleet's retries are divided evenly among the hosts that live.
+auto Host::shareRetries(TimePoint now) -> void
+{
+    if (now < this->nextRetryShareAt)
+        return;
+    this->nextRetryShareAt = now + retryShareInterval;
+    const auto& members = this->fleet->membership();
+    const auto hosts = 1 + members.zonePeers().size() + members.remoteHosts().size();
+    auto option = RetryOption {};
+    option.budgetRatio = this->settings.retryRatio * retryReserve;
+    option.budgetCap = std::max(this->settings.retrySlack * retryReserve / static_cast<double>(hosts), 1.0);
+    this->gateway->setRetryOption(option);
+}
+
+/// A few hosts of the target's zone feed it while it is cold; all hosts agree on them as far as they know each other.
+auto Host::coldPartOf(const LiveTarget& target) const -> double
+{
+    auto order = std::vector<std::pair<std::uint64_t, std::string>> {};
+    for (const auto& host : this->fleet->membership().hostsOf(target.target.zone))
+        order.emplace_back(bucketId(target.instance + "/" + host.ip), host.ip);
+    std::ranges::sort(order);
+    if (order.size() > coldFeeders)
+        order.resize(coldFeeders);
+    const auto isFeeder
+        = std::ranges::any_of(order, [&](const auto& item) { return item.second == this->settings.ip; });
+    return isFeeder ? target.coldRate * coldReserve / static_cast<double>(coldFeeders) : 0;
+}
+
 auto Host::onConfig(const std::shared_ptr<const ActiveConfig>& active) -> void
 {
     this->gateway->setConfig(active);
+    if (this->service)
+        this->service->setLimits(active->config.settings.callers);
+    if (!this->usesAdapter())
+        this->becomeReady();
+    LogEvent(LogLevel::Info, "config-in-force").with("version", active->version);
+}
+
+auto Host::becomeReady() -> void
+{
     this->lifecycle->process(HostEvent::ConfigInForce);
+    const auto active = this->fleet->config().active();
     const auto& drained = active->config.drainingHosts;
     const auto address = formatAddress({ this->settings.ip, this->settings.servicePort });
     const auto isDrained = std::ranges::find(drained, address) != drained.end();
     // A drained host shows itself as leaving and goes on serving until it is stopped or put back.
     if (this->lifecycle->state() == HostState::Serving)
         this->fleet->membership().setState(isDrained ? HostState::Leaving : HostState::Serving);
-    LogEvent(LogLevel::Info, "config-in-force").with("version", active->version);
 }
 
 auto Host::onTick() -> void
 {
     this->fleet->tick();
     this->gateway->tick();
+    if (this->discovery) {
+        const auto now = this->clock.now();
+        this->discovery->tick(now);
+        this->shareRetries(now);
+        const auto isKnown = this->discovery->isReady() && this->fleet->config().active() != nullptr;
+        if (this->lifecycle->state() == HostState::Joining && isKnown)
+            this->becomeReady();
+    }
     if (this->lifecycle->state() == HostState::Leaving)
         this->advanceStop(this->clock.now());
 }
 
 auto Host::advanceStop(TimePoint now) -> void
 {
-    const auto isOverdue = now > this->leavingSince + greatestStopTime;
+    const auto isOverdue = now > this->leavingSince + this->settings.stopTime * stopOverduePercent / 100;
     if (!this->isDrained(now) && !isOverdue)
         return;
     this->lifecycle->process(HostEvent::Drained);
@@ -165,7 +319,7 @@
     const auto state = this->lifecycle->state();
     response.fields.set("Content-Type", "application/json");
     if (path == "/healthz") {
-        response.status = state == HostState::Serving ? 200 : 503;
+        response = this->handleReady();
         response.body = nlohmann::json { { "state", hostStateName(state) } }.dump();
     } else if (path == "/status") {
         response.body = this->statusBody();
@@ -186,6 +340,13 @@
     return response;
 }
 
+auto Host::handleReady() const -> HttpResponse
+{
+    auto response = HttpResponse {};
+    response.status = this->lifecycle->state() == HostState::Serving ? 200 : 503;
+    return response;
+}
+
 auto Host::statusBody() const -> std::string
 {
     const auto now = this->clock.now();
--- a/programs/citronloftd/host.hpp
+++ b/programs/citronloftd/host.hpp
@@ -12,6 +12,7 @@
 #include "citronloft/base/host_settings.hpp"
 #include "citronloft/edge/config_exchange.hpp"
 #include "citronloft/edge/gateway.hpp"
+#include "citronloft/edge/platform.hpp"
 #include "citronloft/edge/supervisor.hpp"
 #include "citronloft/edge/udp_transport.hpp"
 #include "citronloft/policy/host_lifecycle.hpp"
@@ -33,17 +34,30 @@
     /// @brief Begins a planned stop; a second call hastens it.
     auto stop() -> void;
 
+    /// @brief Puts changed settings in force, as far as a running host can take them.
+    auto reload(const HostSettings& changed) -> void;
+
 private:
     friend class FleetComponent;
     friend class ServiceComponent;
-    friend class StatusComponent;
     friend class ProbeComponent;
+    friend class PortComponent;
 
+    auto makeSurroundings() -> FleetSurroundings;
+    auto fleetOption() const -> FleetHostOption;
+    auto gatewayOption() const -> GatewayOption;
+    auto startDiscovery() -> void;
+    auto addComponents() -> void;
+    auto becomeReady() -> void;
+    auto shareRetries(TimePoint now) -> void;
+    [[nodiscard]] auto coldPartOf(const LiveTarget& target) const -> double;
+    [[nodiscard]] auto usesAdapter() const -> bool { return this->settings.adapter != "objects"; }
     auto onConfig(const std::shared_ptr<const ActiveConfig>& active) -> void;
     auto onTick() -> void;
     auto advanceStop(TimePoint now) -> void;
     auto finish(int exitCode) -> void;
     [[nodiscard]] auto isDrained(TimePoint now) const -> bool;
+    [[nodiscard]] auto handleReady() const -> HttpResponse;
     auto handleStatus(const HttpRequest& request) -> HttpResponse;
     [[nodiscard]] auto statusBody() const -> std::string;
 
@@ -54,10 +68,13 @@
     Metrics metrics;
     std::uint64_t incarnation;
     std::unique_ptr<HostLifecycle> lifecycle;
+    Platform platform;
+    std::unique_ptr<Discovery> discovery;
     std::shared_ptr<UdpTransport> transport;
     std::unique_ptr<FleetHost> fleet;
     std::unique_ptr<Gateway> gateway;
     std::shared_ptr<HttpServer> service;
+    TimePoint nextRetryShareAt {};
     std::unique_ptr<Supervisor> supervisor;
     TimePoint leavingSince {};
     TimePoint quietUntil {};
--- a/programs/citronloftd/main.cpp
+++ b/programs/citronloftd/main.cpp
@@ -41,7 +41,15 @@
     return std::move(reading.settings);
 }
 
-auto run(const citronloft::HostSettings& settings) -> int
+auto reload(citronloft::Host& host, const std::string& path) -> void
+{
+    if (const auto settings = readSettings(path))
+        host.reload(*settings);
+    else
+        citronloft::LogEvent(citronloft::LogLevel::Error, "settings-refused").with("path", path);
+}
+
+auto run(const citronloft::HostSettings& settings, const std::string& path) -> int
 {
     auto context = boost::asio::io_context { 1 };
     auto exitCode = 0;
@@ -58,10 +66,12 @@
         signals.async_wait([&](boost::system::error_code error, int signal) {
             if (error)
                 return;
-            if (signal == SIGHUP)
+            if (signal == SIGHUP) {
                 citronloft::reopenLog();
-            else
+                reload(host, path);
+            } else {
                 host.stop();
+            }
             waitForSignal();
         });
     };
@@ -85,7 +95,9 @@
         return exitUsage;
     }
     if (values.contains("help")) {
-        std::cout << options << "\nSIGTERM begins a planned stop, a second one hastens it; SIGHUP reopens the log.\n";
+        std::cout << options
+                  << "\nSIGTERM begins a planned stop, a second one hastens it; SIGHUP reopens the log\nand reads the "
+                     "settings again.\n";
         return 0;
     }
     if (values.contains("version")) {
@@ -103,5 +115,5 @@
         return 0;
     citronloft::openLog(settings->logPath, settings->logLevel);
     std::signal(SIGPIPE, SIG_IGN);
-    return run(*settings);
+    return run(*settings, values["settings"].as<std::string>());
 }
--- a/src/citronloft/base/config_file.cpp
+++ b/src/citronloft/base/config_file.cpp
@@ -47,6 +47,18 @@
         value = static_cast<std::uint32_t>(number);
 }
 
+auto readRank(YamlReader& reader, std::string_view field, std::uint32_t& value) -> void
+{
+    constexpr auto greatestRank = std::int64_t { 1000 };
+    auto number = std::int64_t { value };
+    if (!reader.optional(field, number))
+        return;
+    if (number < 0 || number > greatestRank)
+        reader.fault(field, "must be from 0 to 1000");
+    else
+        value = static_cast<std::uint32_t>(number);
+}
+
 auto readTeam(YamlReader& reader) -> Team
 {
     auto team = Team {};
@@ -54,6 +66,8 @@
     readAmount(reader, "rate", team.rate);
     readAmount(reader, "burst", team.burst);
     readCount(reader, "weight", team.weight);
+    readRank(reader, "priority", team.priority);
+    reader.strings("home_regions", team.homeRegions);
     auto keys = std::vector<std::string> {};
     reader.strings("keys", keys);
     for (const auto& key : keys) {
@@ -62,18 +76,41 @@
         else
             reader.fault("keys", "each key is a SHA-256 digest of 64 lower-case hexadecimal digits");
     }
-    if (team.burst < 1)
+    if (team.rate != 0 && team.burst < 1)
         reader.fault("burst", "must be at least 1");
     return team;
 }
 
+/// A split is a map of pools to weights.
+auto readSplit(YamlReader& reader, Route& route) -> void
+{
+    const auto node = reader.child("split");
+    if (!node.IsDefined() || node.IsNull())
+        return;
+    if (!node.IsMap()) {
+        reader.fault("split", "must be a map of pools to weights");
+        return;
+    }
+    for (const auto& part : node) {
+        const auto weight = part.second.as<std::int64_t>(0);
+        if (weight < 1 || weight > 1'000'000)
+            reader.fault("split", "weights must be from 1 to 1000000");
+        else
+            route.split.push_back({ part.first.as<std::string>(), static_cast<std::uint32_t>(weight) });
+    }
+}
+
 auto readRoute(YamlReader& reader) -> Route
 {
     auto route = Route {};
     reader.required("name", route.name);
+    reader.optional("host", route.host);
     reader.required("prefix", route.prefix);
     reader.strings("methods", route.methods);
-    reader.required("pool", route.pool);
+    reader.optional("pool", route.pool);
+    readSplit(reader, route);
+    if (route.pool.empty() == route.split.empty())
+        reader.fault("pool", "either a pool or a split is needed");
     reader.optional("open", route.open);
     reader.optional("idempotent", route.idempotent);
     readMilliseconds(reader, "deadline_ms", route.deadline);
@@ -82,6 +119,11 @@
     if (age.count() > 0)
         route.maxConfigAge = age;
     reader.strings("teams", route.teams);
+    readMilliseconds(reader, "objective_ms", route.objective);
+    readRank(reader, "priority", route.priority);
+    readCount(reader, "attempts", route.attempts);
+    reader.optional("sticky", route.sticky);
+    reader.strings("home_regions", route.homeRegions);
     if (!route.prefix.starts_with('/'))
         reader.fault("prefix", "must start with '/'");
     if (route.open && !route.teams.empty())
@@ -166,6 +208,9 @@
         auto reader = YamlReader(list[i], "pools[" + std::to_string(i) + "]", faults);
         auto pool = Pool {};
         reader.required("name", pool.name);
+        reader.optional("health_path", pool.healthPath);
+        readCount(reader, "connections", pool.connections);
+        readAmount(reader, "cold_rate", pool.coldRate);
         pool.targets = readList<Target>(reader, "targets", faults, readTarget);
         reader.finish();
         pools.push_back(std::move(pool));
@@ -173,6 +218,18 @@
     return pools;
 }
 
+auto readBytes(YamlReader& reader, std::string_view field, std::uint32_t& value) -> void
+{
+    constexpr auto greatestBytes = std::int64_t { 1 } << 30;
+    auto number = std::int64_t { value };
+    if (!reader.optional(field, number))
+        return;
+    if (number < 1 || number > greatestBytes)
+        reader.fault(field, "must be from 1 to 1073741824 bytes");
+    else
+        value = static_cast<std::uint32_t>(number);
+}
+
 auto readSettings(YamlReader& root, Faults& faults) -> FleetSettings
 {
     auto settings = FleetSettings {};
@@ -181,6 +238,12 @@
         return settings;
     auto reader = YamlReader(node, "settings", faults);
     readMilliseconds(reader, "lookup_ttl_ms", settings.lookupTtl);
+    auto bodyBytes = static_cast<std::uint32_t>(settings.callers.bodyBytes);
+    readBytes(reader, "greatest_header_bytes", settings.callers.headerBytes);
+    readBytes(reader, "greatest_body_bytes", bodyBytes);
+    settings.callers.bodyBytes = bodyBytes;
+    readMilliseconds(reader, "header_timeout_ms", settings.callers.headerTimeout);
+    readMilliseconds(reader, "idle_timeout_ms", settings.callers.idleTimeout);
     reader.finish();
     return settings;
 }
@@ -294,7 +357,10 @@
     for (const auto& zone : config.zones)
         regions.insert(zone.region);
     for (const auto& route : config.routes) {
-        checkKnown(pools, route.pool, "routes." + route.name + ".pool", faults);
+        if (route.split.empty())
+            checkKnown(pools, route.pool, "routes." + route.name + ".pool", faults);
+        for (const auto& part : route.split)
+            checkKnown(pools, part.pool, "routes." + route.name + ".split", faults);
         for (const auto& team : route.teams)
             checkKnown(teams, team, "routes." + route.name + ".teams", faults);
     }
--- a/src/citronloft/base/config_records.cpp
+++ b/src/citronloft/base/config_records.cpp
@@ -9,13 +9,37 @@
 
 template <typename Archive> auto serialize(Archive& archive, Team& team) -> void
 {
-    archive(team.name, team.rate, team.burst, team.weight, team.keys);
+    archive(team.name, team.rate, team.burst, team.weight, team.priority, team.keys, team.homeRegions);
+}
+
+template <typename Archive> auto serialize(Archive& archive, PoolWeight& part) -> void
+{
+    archive(part.pool, part.weight);
 }
 
 template <typename Archive> auto serialize(Archive& archive, Route& route) -> void
 {
-    archive(route.name, route.prefix, route.methods, route.pool, route.open, route.idempotent, route.deadline,
-        route.maxConfigAge, route.teams);
+    archive(route.name, route.host, route.prefix, route.methods, route.pool, route.split, route.open, route.idempotent,
+        route.deadline, route.maxConfigAge, route.teams, route.objective, route.priority, route.attempts, route.sticky,
+        route.homeRegions);
+}
+
+/// What a pool's own record holds; its targets have records of their own.
+struct PoolRecord {
+    std::string name;
+    std::string healthPath;
+    std::uint32_t connections = 1;
+    double coldRate = 0;
+};
+
+template <typename Archive> auto serialize(Archive& archive, PoolRecord& pool) -> void
+{
+    archive(pool.name, pool.healthPath, pool.connections, pool.coldRate);
+}
+
+template <typename Archive> auto serialize(Archive& archive, CallerLimits& limits) -> void
+{
+    archive(limits.headerBytes, limits.bodyBytes, limits.headerTimeout, limits.idleTimeout);
 }
 
 template <typename Archive> auto serialize(Archive& archive, Target& target) -> void
@@ -40,7 +64,7 @@
 
 template <typename Archive> auto serialize(Archive& archive, FleetSettings& settings) -> void
 {
-    archive(settings.lookupTtl);
+    archive(settings.lookupTtl, settings.callers);
 }
 
 namespace {
@@ -102,10 +126,19 @@
             return setItem(pool->targets, name.rest, value);
         return value ? absl::InvalidArgumentError("target of unknown pool '" + name.first + "'") : absl::OkStatus();
     }
-    if (value && pool == config.pools.end())
-        config.pools.push_back({ name.first, {} });
-    if (!value && pool != config.pools.end())
-        config.pools.erase(pool);
+    if (!value) {
+        if (pool != config.pools.end())
+            config.pools.erase(pool);
+        return absl::OkStatus();
+    }
+    const auto record = decode<PoolRecord>(*value);
+    if (!record.ok())
+        return record.status();
+    auto& item = pool == config.pools.end() ? config.pools.emplace_back() : *pool;
+    item.name = name.first;
+    item.healthPath = record->healthPath;
+    item.connections = record->connections;
+    item.coldRate = record->coldRate;
     return absl::OkStatus();
 }
 
@@ -189,7 +222,8 @@
     for (const auto& route : config.routes)
         records["route/" + route.name] = encode(route);
     for (const auto& pool : config.pools) {
-        records["pool/" + pool.name] = "";
+        records["pool/" + pool.name]
+            = encode(PoolRecord { pool.name, pool.healthPath, pool.connections, pool.coldRate });
         for (const auto& target : pool.targets)
             records["pool/" + pool.name + "/" + target.address] = encode(target);
     }
--- a/src/citronloft/base/config_writer.cpp
+++ b/src/citronloft/base/config_writer.cpp
@@ -11,6 +11,9 @@
     out << YAML::Key << "pools" << YAML::Value << YAML::BeginSeq;
     for (const auto& pool : config.pools) {
         out << YAML::BeginMap << YAML::Key << "name" << YAML::Value << pool.name;
+        out << YAML::Key << "health_path" << YAML::Value << pool.healthPath;
+        out << YAML::Key << "connections" << YAML::Value << pool.connections;
+        out << YAML::Key << "cold_rate" << YAML::Value << pool.coldRate;
         out << YAML::Key << "targets" << YAML::Value << YAML::BeginSeq;
         for (const auto& target : pool.targets) {
             out << YAML::Flow << YAML::BeginMap;
@@ -33,6 +36,8 @@
         out << YAML::Key << "rate" << YAML::Value << team.rate;
         out << YAML::Key << "burst" << YAML::Value << team.burst;
         out << YAML::Key << "weight" << YAML::Value << team.weight;
+        out << YAML::Key << "priority" << YAML::Value << team.priority;
+        out << YAML::Key << "home_regions" << YAML::Value << YAML::Flow << team.homeRegions;
         out << YAML::Key << "keys" << YAML::Value << YAML::BeginSeq;
         for (const auto& key : team.keys)
             out << toHex(key);
@@ -46,14 +51,29 @@
     out << YAML::Key << "routes" << YAML::Value << YAML::BeginSeq;
     for (const auto& route : config.routes) {
         out << YAML::BeginMap << YAML::Key << "name" << YAML::Value << route.name;
+        if (!route.host.empty())
+            out << YAML::Key << "host" << YAML::Value << route.host;
         out << YAML::Key << "prefix" << YAML::Value << route.prefix;
         out << YAML::Key << "methods" << YAML::Value << YAML::Flow << route.methods;
-        out << YAML::Key << "pool" << YAML::Value << route.pool;
+        if (route.split.empty()) {
+            out << YAML::Key << "pool" << YAML::Value << route.pool;
+        } else {
+            out << YAML::Key << "split" << YAML::Value << YAML::Flow << YAML::BeginMap;
+            for (const auto& part : route.split)
+                out << YAML::Key << part.pool << YAML::Value << part.weight;
+            out << YAML::EndMap;
+        }
         out << YAML::Key << "open" << YAML::Value << route.open;
         out << YAML::Key << "idempotent" << YAML::Value << route.idempotent;
         out << YAML::Key << "deadline_ms" << YAML::Value << route.deadline.count();
         if (route.maxConfigAge)
             out << YAML::Key << "max_config_age_ms" << YAML::Value << route.maxConfigAge->count();
+        if (route.objective.count() > 0)
+            out << YAML::Key << "objective_ms" << YAML::Value << route.objective.count();
+        out << YAML::Key << "priority" << YAML::Value << route.priority;
+        out << YAML::Key << "attempts" << YAML::Value << route.attempts;
+        out << YAML::Key << "sticky" << YAML::Value << route.sticky;
+        out << YAML::Key << "home_regions" << YAML::Value << YAML::Flow << route.homeRegions;
         out << YAML::Key << "teams" << YAML::Value << YAML::Flow << route.teams << YAML::EndMap;
     }
     out << YAML::EndSeq;
@@ -90,7 +110,12 @@
 {
     auto out = YAML::Emitter {};
     out << YAML::BeginMap << YAML::Key << "settings" << YAML::Value << YAML::BeginMap;
-    out << YAML::Key << "lookup_ttl_ms" << YAML::Value << config.settings.lookupTtl.count() << YAML::EndMap;
+    out << YAML::Key << "lookup_ttl_ms" << YAML::Value << config.settings.lookupTtl.count();
+    const auto& callers = config.settings.callers;
+    out << YAML::Key << "greatest_header_bytes" << YAML::Value << callers.headerBytes;
+    out << YAML::Key << "greatest_body_bytes" << YAML::Value << callers.bodyBytes;
+    out << YAML::Key << "header_timeout_ms" << YAML::Value << callers.headerTimeout.count();
+    out << YAML::Key << "idle_timeout_ms" << YAML::Value << callers.idleTimeout.count() << YAML::EndMap;
     emitTeams(out, config);
     emitRoutes(out, config);
     emitPools(out, config);
--- a/src/citronloft/base/host_settings.cpp
+++ b/src/citronloft/base/host_settings.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace citronloft {
 
@@ -43,6 +44,66 @@
     }
 }
 
+/// Seeds named by any of their addresses: the port is this fleet's peer port.
+auto readSeedHosts(YamlReader& reader, std::uint16_t peerPort, std::vector<Address>& seeds) -> void
+{
+    auto texts = std::vector<std::string> {};
+    reader.strings("seed_hosts", texts);
+    for (const auto& text : texts) {
+        if (const auto parsed = parseAddress(text); parsed.ok())
+            seeds.push_back({ parsed->ip, peerPort });
+        else
+            reader.fault("seed_hosts", "'" + text + "' is not an IP number and a port");
+    }
+}
+
+/// An address of this host gives its port alone; the IP number is `ip`.
+auto readOwnAddress(YamlReader& reader, std::string_view field, std::uint16_t& port) -> void
+{
+    auto text = std::string {};
+    if (!reader.optional(field, text) || text.empty())
+        return;
+    if (const auto parsed = parseAddress(text); parsed.ok())
+        port = parsed->port;
+    else
+        reader.fault(field, "must be an IP number and a port");
+}
+
+auto readSeconds(YamlReader& reader, std::string_view field, std::chrono::milliseconds& value) -> void
+{
+    constexpr auto greatest = 3600.0;
+    auto seconds = std::chrono::duration<double>(value).count();
+    if (!reader.optional(field, seconds))
+        return;
+    if (seconds <= 0 || seconds > greatest)
+        reader.fault(field, "must be greater than 0 and at most 3600 s");
+    else
+        value = std::chrono::milliseconds { std::llround(seconds * 1000) };
+}
+
+auto readPart(YamlReader& reader, std::string_view field, double& value, double greatest) -> void
+{
+    if (reader.optional(field, value) && !(value >= 0 && value <= greatest))
+        reader.fault(field, "must be from 0 to " + std::to_string(greatest));
+}
+
+auto readZones(YamlReader& reader, std::map<std::string, std::string>& regionOfZone) -> void
+{
+    const auto node = reader.child("zones");
+    if (!node.IsDefined() || node.IsNull())
+        return;
+    if (!node.IsMap()) {
+        reader.fault("zones", "must be a map of zones to regions");
+        return;
+    }
+    for (const auto& item : node) {
+        if (item.second.IsScalar())
+            regionOfZone[item.first.as<std::string>()] = item.second.as<std::string>();
+        else
+            reader.fault("zones", "the region of '" + item.first.as<std::string>() + "' must be a name");
+    }
+}
+
 template <std::size_t Size>
 auto readChoice(YamlReader& reader, std::string_view field, std::string& value,
     const std::array<std::string_view, Size>& choices) -> std::size_t
@@ -74,13 +135,26 @@
     readPort(reader, "service_port", settings.servicePort);
     readPort(reader, "peer_port", settings.peerPort);
     readPort(reader, "status_port", settings.statusPort);
+    readOwnAddress(reader, "service_address", settings.servicePort);
+    readOwnAddress(reader, "ready_address", settings.readyPort);
+    readOwnAddress(reader, "lookup_address", settings.lookupPort);
     readAddress(reader, "platform", settings.platform);
+    readChoice(reader, "adapter", settings.adapter, std::to_array<std::string_view>({ "objects", "fleet" }));
+    readZones(reader, settings.regionOfZone);
+    readSeconds(reader, "lookup_ttl_s", settings.lookupTtl);
+    readSeconds(reader, "stop_time_s", settings.stopTime);
+    readPart(reader, "retry_ratio", settings.retryRatio, 10);
+    readPart(reader, "retry_slack", settings.retrySlack, 1e6);
+    readPart(reader, "shift_part", settings.shiftPart, 1);
     reader.required("fleet_secret", settings.fleetSecret);
     readSeeds(reader, settings.seeds);
+    readSeedHosts(reader, settings.peerPort, settings.seeds);
     readChoice(reader, "queue", settings.queue, std::to_array<std::string_view>({ "fair", "fifo" }));
     readChoice(reader, "lending", settings.lending, std::to_array<std::string_view>({ "fleet", "zone", "none" }));
     if (!settings.ip.empty() && !parseIp(settings.ip).ok())
         reader.fault("ip", "must be an IP number");
+    if (settings.adapter == "fleet" && !settings.regionOfZone.contains(settings.zone))
+        reader.fault("zones", "must name the region of this host's zone");
     if (settings.fleetSecret.size() < leastSecretLength)
         reader.fault("fleet_secret", "must have at least 16 characters");
 }
--- a/src/citronloft/edge/call.cpp
+++ b/src/citronloft/edge/call.cpp
@@ -1,45 +1,28 @@
 #include "citronloft/edge/call.hpp"
 
 #include <algorithm>
+#include <charconv>
 
 namespace citronloft {
 
-namespace {
-
-auto removeOwnFields(HeaderFields& fields) -> void
-{
-    constexpr auto prefix = std::string_view { "Citronloft-" };
-    auto names = std::vector<std::string> {};
-    for (const auto& field : fields) {
-        if (field.name.size() >= prefix.size() && equalHeaderName(field.name.substr(0, prefix.size()), prefix))
-            names.push_back(field.name);
-    }
-    for (const auto& name : names)
-        fields.remove(name);
-}
-
-} // namespace
-
-auto makeForwardedRequest(const Call& call, TimePoint now) -> HttpRequest
+auto makeForwardedRequest(const Dialect& dialect, const Call& call, const std::string& instance, TimePoint now)
+    -> HttpRequest
 {
-    auto request = *call.request;
-    removeHopByHopFields(request.fields);
-    removeOwnFields(request.fields);
-    request.fields.remove("Host");
-    request.fields.remove("Content-Length");
-    if (call.team != nullptr)
-        request.fields.set("Citronloft-Team", call.team->name);
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - now);
-    request.fields.set(deadlineHeader, std::to_string(std::max<std::int64_t>(left.count(), 0)));
-    return request;
+    auto fields = ForwardedFields {};
+    fields.team = call.team == nullptr ? std::string {} : call.team->name;
+    fields.left = std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - now);
+    fields.instance = instance;
+    return dialect.forward(*call.request, fields);
 }
 
-auto cleanAnswer(HttpResponse& response, bool isHead) -> void
+auto parseMilliseconds(std::string_view text) -> std::optional<std::chrono::milliseconds>
 {
-    removeHopByHopFields(response.fields);
-    removeOwnFields(response.fields);
-    if (!isHead && response.status != 304)
-        response.fields.remove("Content-Length");
+    constexpr auto greatest = std::int64_t { 3'600'000 };
+    auto value = std::int64_t { 0 };
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || error != std::errc {} || end != text.data() + text.size() || value < 0)
+        return std::nullopt;
+    return std::chrono::milliseconds { std::min(value, greatest) };
 }
 
 auto isRefusal(ResultCode code) -> bool { return resultInfo(code).outcome == Outcome::NotRun; }
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -10,18 +10,12 @@
 
 namespace {
 
-constexpr auto idempotencyHeader = "Idempotency-Key";
 constexpr auto greatestIdempotencyKeyBytes = std::size_t { 255 };
 /// Open routes stand in the fair queue as one team of their own.
 constexpr auto openTeamIndex = std::size_t { 1'000'000 };
 constexpr auto leastAttemptTime = std::chrono::milliseconds { 250 };
 constexpr auto attemptLatencies = 8;
 
-auto isTargetRefusal(const HttpResponse& response) -> bool
-{
-    return response.status == 503 && response.fields.get(outcomeHeader) == "not-run";
-}
-
 auto codeOf(ExchangeError error) -> ResultCode
 {
     switch (error) {
@@ -50,18 +44,32 @@
         return TargetResult::Shed;
     if (code == ResultCode::CallerGone)
         return TargetResult::Abandoned;
+    if (code == ResultCode::TargetReplaced)
+        return TargetResult::Misdirected;
+    if (code == ResultCode::ConnectFailed)
+        return TargetResult::Unreachable;
     if (code != ResultCode::Answered || response.status >= 500)
         return TargetResult::Failed;
     return TargetResult::Answered;
 }
 
-auto parseMilliseconds(std::string_view text) -> std::optional<std::chrono::milliseconds>
+const auto noRegions = std::vector<std::string> {};
+
+auto randomHash(pcg32& random) -> std::uint64_t { return (std::uint64_t { random() } << 32U) | random(); }
+
+/// Regions in both lists; an empty list stands for all regions.
+auto commonRegions(const std::vector<std::string>& left, const std::vector<std::string>& right)
+    -> std::vector<std::string>
 {
-    auto value = std::int64_t { 0 };
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (text.empty() || error != std::errc {} || end != text.data() + text.size() || value < 0)
-        return std::nullopt;
-    return std::chrono::milliseconds { std::min<std::int64_t>(value, 3'600'000) };
+    if (left.empty() || right.empty())
+        return left.empty() ? right : left;
+    auto common = std::vector<std::string> {};
+    std::ranges::copy_if(left, std::back_inserter(common),
+        [&](const std::string& region) { return std::ranges::find(right, region) != right.end(); });
+    // No region is home to both: a name that no region has keeps the request from running anywhere.
+    if (common.empty())
+        common.emplace_back("(none)");
+    return common;
 }
 
 } // namespace
@@ -73,11 +81,12 @@
     , metrics(metrics)
     , fleet(fleet)
     , option(std::move(option))
-    , lookup(fleet.membership(), this->option.zone)
-    , retryBudget(this->option.retry)
-    , client(makeHttpClient(context, clock))
+    , dialect(this->option.dialect ? this->option.dialect : std::shared_ptr<const Dialect>(makeOwnDialect()))
+    , lookup(fleet.membership(), *dialect, this->option.zone)
+    , random(randomId())
+    , client(makeHttpClient(context, clock, this->option.client))
     , prober(clock, client)
-    , spillRouter(clock, metrics, fleet, client,
+    , spillRouter(clock, metrics, fleet, client, *dialect,
           { .zone = this->option.zone,
               .fleetSecret = this->option.fleetSecret,
               .provedWithin = this->option.provedWithin })
@@ -93,17 +102,88 @@
     this->snapshot = std::move(next);
     this->lookup.setConfig(*active);
     for (const auto& pool : active->config.pools) {
+        this->retryBudgets.try_emplace(pool.name, this->option.retry);
         auto& admission = this->admissions[pool.name];
         if (!admission) {
             const auto makeQueue = this->option.queue == QueueStrategy::Fifo ? makeFifoQueue : makeFairQueue;
             admission = std::make_unique<PoolAdmission>(this->context, this->clock, makeQueue(this->option.queueLimits),
                 TargetPool(this->option.targets, randomId()));
+            admission->targets().setColdPart(this->coldPart);
         }
-        auto local = std::vector<Target> {};
-        std::ranges::copy_if(pool.targets, std::back_inserter(local),
-            [&](const Target& target) { return target.zone == this->option.zone; });
-        admission->targets().setTargets(local, this->clock.now());
+        this->applyTargets(pool);
+    }
+}
+
+auto Gateway::setDiscovered(DiscoveredTargets targets) -> void
+{
+    this->discovered = std::move(targets);
+    if (!this->snapshot)
+        return;
+    for (const auto& pool : this->snapshot->active->config.pools)
+        this->applyTargets(pool);
+}
+
+auto Gateway::setEvacuatedZones(std::set<std::string> zones) -> void
+{
+    this->evacuatedZones = std::move(zones);
+    this->setDiscovered(std::move(this->discovered));
+}
+
+auto Gateway::setRetryOption(RetryOption changed) -> void
+{
+    this->option.retry = changed;
+    for (auto& [pool, budget] : this->retryBudgets)
+        budget.setOption(changed);
+}
+
+auto Gateway::setColdPart(TargetPool::ColdPart part) -> void
+{
+    this->coldPart = std::move(part);
+    for (auto& [name, admission] : this->admissions)
+        admission->targets().setColdPart(this->coldPart);
+}
+
+/// Without discovery a host sends to its own zone's targets alone; other zones are reached through their hosts.
+auto Gateway::applyTargets(const Pool& pool) -> void
+{
+    auto& targets = this->admissions.at(pool.name)->targets();
+    if (this->option.discoversTargets) {
+        targets.setLiveTargets(this->liveTargetsOf(pool), this->clock.now());
+        return;
+    }
+    auto local = std::vector<Target> {};
+    std::ranges::copy_if(pool.targets, std::back_inserter(local),
+        [&](const Target& target) { return target.zone == this->option.zone; });
+    targets.setTargets(local, this->clock.now());
+}
+
+auto Gateway::liveTargetsOf(const Pool& pool) const -> std::vector<LiveTarget>
+{
+    const auto found = this->discovered.find(pool.name);
+    if (found == this->discovered.end())
+        return {};
+    auto targets = found->second;
+    const auto& zones = this->snapshot->active->config.zones;
+    for (auto& live : targets) {
+        const auto zone = std::ranges::find(zones, live.target.zone, &Zone::name);
+        live.region = zone == zones.end() ? std::string {} : zone->region;
+        live.distance = this->distanceTo(live.target.zone);
+        live.target.connections = pool.connections;
+        live.coldRate = pool.coldRate;
+        live.evacuated = this->evacuatedZones.contains(live.target.zone);
     }
+    return targets;
+}
+
+auto Gateway::distanceTo(const std::string& zoneName) const -> Distance
+{
+    if (zoneName == this->option.zone)
+        return Distance::SameZone;
+    const auto& zones = this->snapshot->active->config.zones;
+    const auto own = std::ranges::find(zones, this->option.zone, &Zone::name);
+    const auto other = std::ranges::find(zones, zoneName, &Zone::name);
+    const auto isNear = own != zones.end() && other != zones.end() && own->region == other->region;
+    return isNear ? Distance::SameRegion : Distance::OtherRegion;
 }
 
 auto Gateway::handle(HttpRequest& request, CallerContext& caller, boost::asio::yield_context yield) -> HttpResponse
@@ -112,13 +192,19 @@
     ++this->running;
     auto result = this->dispatch(request, caller, yield);
     --this->running;
-    return this->finish(std::move(result), startedAt);
+    return this->finish(request, std::move(result), startedAt);
+}
+
+auto Gateway::handleLookup(const HttpRequest& request, const CallerContext& caller) -> HttpResponse
+{
+    if (!this->dialect->isLookup(request))
+        return this->dialect->refuse(ResultCode::RouteUnknown, {});
+    return this->lookup.answer(request, caller.caller.ip);
 }
 
 auto Gateway::dispatch(HttpRequest& request, CallerContext& caller, boost::asio::yield_context yield) -> CallResult
 {
-    if (request.method == "GET"
-        && std::string_view { request.target }.substr(0, request.target.find('?')) == lookupPath) {
+    if (this->option.servesLookups && this->dialect->isLookup(request)) {
         auto answer = this->lookup.answer(request, caller.caller.ip);
         if (answer.status != 200)
             return { ResultCode::ShiftCapReached, {}, busyRetryAfter };
@@ -134,15 +220,19 @@
     call.snapshot = this->snapshot;
     call.request = &request;
     call.caller = &caller;
+    call.fields = this->dialect->readRequest(request);
+    call.receivedAt = this->clock.now();
     call.isSpilled = request.fields.has(spillHeader);
     return call.isSpilled ? this->handleSpilled(call, yield) : this->handleCaller(call, yield);
 }
 
 auto Gateway::handleCaller(Call& call, boost::asio::yield_context yield) -> CallResult
 {
-    call.route = call.snapshot->routes.find(call.request->method, call.request->target);
+    call.route
+        = call.snapshot->routes.find(call.request->method, call.request->fields.get("Host"), call.request->target);
     if (call.route == nullptr)
         return { ResultCode::RouteUnknown, {}, {} };
+    this->findPool(call);
     if (const auto code = this->authorize(call); code != ResultCode::Answered)
         return { code, {}, {} };
     this->setDeadline(call);
@@ -157,17 +247,16 @@
     const auto& config = call.snapshot->active->config;
     if (call.route->maxConfigAge && this->fleet.config().age(this->clock.now()) > *call.route->maxConfigAge)
         return ResultCode::ConfigurationStale;
-    const auto& fields = call.request->fields;
-    const auto idempotencyKey = fields.get(idempotencyHeader);
-    if (fields.has(idempotencyHeader)
-        && (idempotencyKey.empty() || idempotencyKey.size() > greatestIdempotencyKeyBytes))
+    const auto& fields = call.fields;
+    if (fields.hasIdempotencyKey
+        && (fields.idempotencyKey.empty() || fields.idempotencyKey.size() > greatestIdempotencyKeyBytes))
         return ResultCode::IdempotencyKeyInvalid;
     call.teamIndex = openTeamIndex;
     if (call.route->open)
         return ResultCode::Answered;
-    if (!fields.has(keyHeader))
+    if (!fields.hasKey)
         return ResultCode::KeyMissing;
-    const auto team = call.snapshot->keys.find(fields.get(keyHeader));
+    const auto team = call.snapshot->keys.find(fields.key);
     if (!team)
         return ResultCode::KeyUnknown;
     call.team = &config.teams[*team];
@@ -183,13 +272,13 @@
 {
     if (call.team == nullptr || call.isSpilled || call.snapshot == this->snapshot)
         return true;
-    const auto team = this->snapshot->keys.find(call.request->fields.get(keyHeader));
+    const auto team = this->snapshot->keys.find(call.fields.key);
     return team && this->snapshot->active->config.teams[*team].name == call.team->name;
 }
 
 auto Gateway::admitRate(const Call& call, boost::asio::yield_context yield) -> RateDecision
 {
-    if (call.team == nullptr)
+    if (call.team == nullptr || call.team->rate <= 0)
         return { .admitted = true, .waited = false, .retryAfter = {} };
     auto waiter = std::make_shared<Waiter<RateDecision>>(this->context);
     const auto id = this->fleet.rates().acquire(bucketId(teamBucketName(call.team->name)), microTokensPerToken,
@@ -203,7 +292,7 @@
 /// A non-idempotent request with an idempotency key is sent only once its key has been claimed in the store.
 auto Gateway::claimAndRun(Call& call, boost::asio::yield_context yield) -> CallResult
 {
-    if (call.route->idempotent || !call.request->fields.has(idempotencyHeader))
+    if (call.route->idempotent || !call.fields.hasIdempotencyKey)
         return this->runAttempts(call, yield);
     const auto claimed = this->claimKeyOf(call, yield);
     if (!claimed || claimed->outcome == ClaimOutcome::Unavailable)
@@ -225,7 +314,7 @@
     };
     auto wait = std::make_shared<Wait>(Wait { Waiter<ClaimResult>(this->context) });
     const auto team = call.team == nullptr ? std::string { "-" } : call.team->name;
-    const auto key = std::string { call.request->fields.get(idempotencyHeader) };
+    const auto key = std::string { call.fields.idempotencyKey };
     auto& claims = this->fleet.claims();
     claims.claim(team, key, [wait, &claims](ClaimOutcome outcome, const Claim& claim) {
         if (wait->isOver && outcome == ClaimOutcome::Granted)
@@ -239,21 +328,18 @@
 
 auto Gateway::runAttempts(Call& call, boost::asio::yield_context yield) -> CallResult
 {
-    auto& admission = *this->admissions.at(call.route->pool);
-    this->retryBudget.recordFirstAttempt();
-    auto avoid = std::string {};
+    auto& admission = *this->admissions.at(call.pool);
+    auto& budget = this->retryBudgets.at(call.pool);
+    budget.recordFirstAttempt();
+    auto wish = this->wishOf(call);
     auto doubt = std::optional<ResultCode> {};
     for (auto attempt = 1U;; ++attempt) {
         const auto weight = call.team == nullptr ? 1U : call.team->weight;
         const auto slot = call.isSpilled && attempt == 1
             ? admission.tryAcquire(this->option.reservedForLocal)
-            : admission.acquire({ call.teamIndex, weight, call.deadline, avoid }, *call.caller, yield);
-        if (slot.target.empty() && doubt)
-            return { *doubt, {}, {} };
-        if (slot.target.empty() && (call.isSpilled || slot.refusal == ResultCode::CallerGone))
-            return { slot.refusal, {}, busyRetryAfter };
+            : admission.acquire({ call.teamIndex, weight, call.deadline, wish }, *call.caller, yield);
         if (slot.target.empty())
-            return this->spillRouter.forward(call, slot.refusal, yield);
+            return doubt ? CallResult { *doubt, {}, {} } : this->refuseWithoutTarget(call, slot.refusal, yield);
         if (!this->isStillAuthorized(call)) {
             admission.release(slot.target, TargetResult::Abandoned, {});
             return { doubt.value_or(ResultCode::KeyUnknown), {}, {} };
@@ -262,15 +348,59 @@
         if (result.code == ResultCode::Answered || result.code == ResultCode::CallerGone)
             return result;
         const auto outcome = resultInfo(result.code).outcome;
-        const auto attempted = AttemptResult { outcome, call.route->idempotent, attempt, call.deadline };
+        const auto attempted
+            = AttemptResult { outcome, call.route->idempotent, attempt, call.deadline, call.route->attempts };
         // An attempt in doubt stays in doubt, whatever a later one proves of itself.
         if (outcome != Outcome::NotRun)
             doubt = result.code;
-        if (!this->retryBudget.tryRetry(attempted, this->clock.now()))
+        if (!budget.tryRetry(attempted, this->clock.now()))
             return { doubt.value_or(result.code), {}, busyRetryAfter };
         const auto reason = "reason=\"" + std::string { resultInfo(result.code).name } + "\"";
         this->metrics.count("citronloft_retries_total", reason);
-        avoid = slot.target;
+        LogEvent(LogLevel::Info, "request-retried")
+            .with("request", call.fields.requestId)
+            .with("reason", resultInfo(result.code).name)
+            .with("target", slot.target)
+            .with("attempt", attempt);
+        wish.avoid.push_back(slot.target);
+    }
+}
+
+auto Gateway::refuseWithoutTarget(Call& call, ResultCode refusal, boost::asio::yield_context yield) -> CallResult
+{
+    if (call.isSpilled || refusal == ResultCode::CallerGone || this->option.discoversTargets)
+        return { refusal, {}, busyRetryAfter };
+    return this->spillRouter.forward(call, refusal, yield);
+}
+
+/// Requests of one object share a hash; others spread by a random one, with the same weights.
+auto Gateway::wishOf(const Call& call) -> TargetWish
+{
+    auto wish = TargetWish {};
+    if (!this->option.discoversTargets)
+        return wish;
+    const auto name = std::string { call.fields.object };
+    const auto hasObject = call.route->sticky && !name.empty();
+    wish.object = hasObject ? bucketId(call.pool + "/" + name) : randomHash(this->random);
+    wish.regions = commonRegions(call.route->homeRegions, call.team == nullptr ? noRegions : call.team->homeRegions);
+    return wish;
+}
+
+auto Gateway::findPool(Call& call) -> void
+{
+    const auto& split = call.route->split;
+    call.pool = call.route->pool;
+    auto sum = 0U;
+    for (const auto& part : split)
+        sum += part.weight;
+    if (sum == 0)
+        return;
+    auto choice = this->random(sum);
+    for (const auto& part : split) {
+        call.pool = part.pool;
+        if (choice < part.weight)
+            return;
+        choice -= part.weight;
     }
 }
 
@@ -278,32 +408,50 @@
     boost::asio::yield_context yield) -> CallResult
 {
     const auto startedAt = this->clock.now();
+    const auto* live = admission.targets().target(target);
+    if (live == nullptr)
+        return { ResultCode::NoTarget, {}, busyRetryAfter };
     auto cancel = ExchangeCancel {};
     auto exchangeOption = ExchangeOption { .deadline = call.deadline, .cancel = &cancel };
     exchangeOption.connectionLimit = admission.targets().connectionLimit(target);
+    exchangeOption.idField = this->dialect->requestIdField();
+    exchangeOption.id = call.fields.requestId;
     if (!call.route->idempotent) {
         exchangeOption.reuseWithin = this->option.provedWithin;
-    } else if (mayRetry) {
+    } else if (mayRetry && this->option.limitsFirstAttempt) {
         // A silent connection costs an idempotent request one attempt, not its whole deadline.
         const auto patience
             = std::max<Duration>(admission.targets().serviceTime() * attemptLatencies, leastAttemptTime);
         exchangeOption.deadline = std::min(call.deadline, startedAt + patience);
     }
     call.caller->onGone([&cancel] { cancel.cancel(); });
-    const auto address = parseAddress(target);
-    auto exchange = this->client->exchange(*address, makeForwardedRequest(call, startedAt), exchangeOption, yield);
+    const auto address = parseAddress(live->target.address);
+    const auto request = makeForwardedRequest(*this->dialect, call, live->instance, startedAt);
+    auto exchange = this->client->exchange(*address, request, exchangeOption, yield);
     call.caller->onGone(nullptr);
     auto code = codeOf(exchange.error);
-    if (code == ResultCode::Answered && isTargetRefusal(exchange.response))
+    const auto fields = this->dialect->readAnswer(exchange.response);
+    if (code == ResultCode::Answered && fields.misdirected)
+        code = ResultCode::TargetReplaced;
+    else if (code == ResultCode::Answered && fields.notRun)
         code = ResultCode::TargetShed;
-    if (code == ResultCode::TargetTimeout)
+    if (code == ResultCode::TargetTimeout || code == ResultCode::TargetReplaced)
         this->client->closeIdle(*address);
+    this->readLoad(admission, target, fields);
     admission.release(target, resultOf(code, exchange.response), this->clock.now() - startedAt);
     if (code == ResultCode::Answered)
-        cleanAnswer(exchange.response, call.request->method == "HEAD");
+        this->dialect->cleanAnswer(exchange.response, call.request->method == "HEAD");
     return { code, std::move(exchange.response), busyRetryAfter };
 }
 
+auto Gateway::readLoad(PoolAdmission& admission, const std::string& target, const TargetFields& fields) -> void
+{
+    if (!fields.load)
+        return;
+    const auto inFlight = fields.load->running + fields.load->waiting;
+    admission.targets().report(target, { inFlight, false }, this->clock.now());
+}
+
 /// A forwarded request has been checked and charged by its sender; this host decides by its own headroom alone.
 auto Gateway::handleSpilled(Call& call, boost::asio::yield_context yield) -> CallResult
 {
@@ -311,21 +459,22 @@
         return { code, {}, busyRetryAfter };
     if (call.team == nullptr)
         call.teamIndex = openTeamIndex;
+    this->findPool(call);
     this->setDeadline(call);
     return this->runAttempts(call, yield);
 }
 
 auto Gateway::setDeadline(Call& call) const -> void
 {
-    const auto asked = parseMilliseconds(call.request->fields.get(deadlineHeader));
-    call.deadline = this->clock.now() + std::min(call.route->deadline, asked.value_or(call.route->deadline));
+    call.deadline
+        = call.receivedAt + std::min(call.route->deadline, call.fields.patience.value_or(call.route->deadline));
 }
 
 auto Gateway::tick() -> void
 {
     const auto now = this->clock.now();
     this->lookup.tick(now);
-    const auto part = this->fleet.zonePart();
+    const auto part = this->option.discoversTargets ? 1.0 : this->fleet.zonePart();
     auto headroom = std::vector<PoolHeadroom> {};
     for (auto& [name, admission] : this->admissions) {
         admission->targets().setHostPart(part);
@@ -342,20 +491,26 @@
         this->prober.probe(*admission, yield);
 }
 
-auto Gateway::finish(CallResult result, TimePoint startedAt) -> HttpResponse
+auto Gateway::finish(const HttpRequest& request, CallResult result, TimePoint startedAt) -> HttpResponse
 {
     const auto& info = resultInfo(result.code);
+    const auto took = this->clock.now() - startedAt;
     this->metrics.count("citronloft_results_total", "code=\"" + std::string { info.name } + "\"");
     const auto hasAnswer = result.code == ResultCode::Answered || result.code == ResultCode::LookupAnswered;
     if (result.code == ResultCode::Answered)
-        this->metrics.observe("citronloft_request_seconds", this->clock.now() - startedAt);
+        this->metrics.observe("citronloft_request_seconds", took);
+    if (!hasAnswer) {
+        const auto fields = this->dialect->readRequest(request);
+        LogEvent(LogLevel::Info, "request-failed")
+            .with("request", fields.requestId)
+            .with("result", info.name)
+            .with("took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(took).count())
+            .with("config", this->snapshot ? this->snapshot->active->version : 0);
+    }
     auto response = hasAnswer
         ? std::move(result.response)
-        : problemResponse(result.code, std::chrono::ceil<std::chrono::milliseconds>(result.retryAfter));
-    response.fields.set(codeHeader, std::to_string(static_cast<unsigned>(info.code)));
-    response.fields.set(outcomeHeader, outcomeName(info.outcome));
-    if (this->snapshot)
-        response.fields.set("Citronloft-Config-Version", std::to_string(this->snapshot->active->version));
+        : this->dialect->refuse(result.code, std::chrono::ceil<std::chrono::milliseconds>(result.retryAfter));
+    this->dialect->annotate(response, result.code, this->snapshot ? this->snapshot->active->version : 0);
     return response;
 }
 
--- a/src/citronloft/edge/http_client.cpp
+++ b/src/citronloft/edge/http_client.cpp
@@ -7,6 +7,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <netinet/tcp.h>
+
 namespace citronloft {
 
 namespace {
@@ -40,7 +42,8 @@
     request.target(plain.target);
     for (const auto& field : plain.fields)
         request.insert(field.name, field.value);
-    request.set(http::field::host, formatAddress(address));
+    if (request[http::field::host].empty())
+        request.set(http::field::host, formatAddress(address));
     request.body() = plain.body;
     if (!plain.body.empty() || plain.method == "POST" || plain.method == "PUT")
         request.content_length(plain.body.size());
@@ -159,10 +162,31 @@
             return nullptr;
         }
         connection->stream.socket().set_option(Tcp::no_delay(true), error);
+        this->limitSilence(*connection);
         connection->openedAt = this->clock.now();
         return connection;
     }
 
+    /// A connection whose path has gone silent ends with an error instead of waiting for its deadline.
+    auto limitSilence(Connection& connection) const -> void
+    {
+        using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+        using KeepAliveIdle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+        using KeepAliveInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+        using KeepAliveCount = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+        auto error = beast::error_code {};
+        if (this->option.acknowledgeTimeout.count() > 0)
+            connection.stream.socket().set_option(
+                UserTimeout(static_cast<int>(this->option.acknowledgeTimeout.count())), error);
+        if (!this->option.keepsAlive)
+            return;
+        // A probe after a second of silence, then one each second: two lost ones end the connection.
+        connection.stream.socket().set_option(Tcp::socket::keep_alive(true), error);
+        connection.stream.socket().set_option(KeepAliveIdle(1), error);
+        connection.stream.socket().set_option(KeepAliveInterval(1), error);
+        connection.stream.socket().set_option(KeepAliveCount(2), error);
+    }
+
     /// @return whether the connection may be used again.
     auto run(Connection& connection, http::request<http::string_body> request, const ExchangeOption& exchangeOption,
         Exchange& result, asio::yield_context yield) -> bool
@@ -182,7 +206,7 @@
         if (error)
             result.error = errorOf(error, false);
         else
-            keep = this->readAnswer(connection, request.method() == http::verb::head, result, yield);
+            keep = this->readAnswer(connection, request.method() == http::verb::head, exchangeOption, result, yield);
         if (cancel != nullptr)
             cancel->action = nullptr;
         if (cancel != nullptr && cancel->requested && result.error != ExchangeError::None)
@@ -190,8 +214,19 @@
         return keep;
     }
 
-    auto readAnswer(Connection& connection, bool isHead, Exchange& result, asio::yield_context yield) -> bool
+    /// An answer that names another request belongs to nobody; the connection is not used again after it.
+    static auto isForeign(const http::response<http::string_body>& answer, const ExchangeOption& option) -> bool
     {
+        if (option.idField.empty() || option.id.empty())
+            return false;
+        const auto named = answer[option.idField];
+        return !named.empty() && named != option.id;
+    }
+
+    auto readAnswer(Connection& connection, bool isHead, const ExchangeOption& exchangeOption, Exchange& result,
+        asio::yield_context yield) -> bool
+    {
+        auto sawForeign = false;
         while (true) {
             auto parser = http::response_parser<http::string_body> {};
             parser.body_limit(this->option.bodyLimitBytes);
@@ -204,8 +239,13 @@
             }
             if (parser.get().result_int() / 100 == 1)
                 continue;
+            if (isForeign(parser.get(), exchangeOption)) {
+                sawForeign = true;
+                continue;
+            }
             // A byte after the answer belongs to no request of this host; it poisons the connection.
-            const auto keep = parser.get().keep_alive() && !parser.get().need_eof() && connection.buffer.size() == 0;
+            const auto keep
+                = parser.get().keep_alive() && !parser.get().need_eof() && connection.buffer.size() == 0 && !sawForeign;
             connection.lastAnswerAt = this->clock.now();
             result.response = toPlain(parser.release());
             return keep;
--- a/src/citronloft/edge/lookup_service.cpp
+++ b/src/citronloft/edge/lookup_service.cpp
@@ -1,7 +1,5 @@
 #include "citronloft/edge/lookup_service.hpp"
 
-#include <nlohmann/json.hpp>
-
 namespace citronloft {
 
 namespace {
@@ -10,8 +8,9 @@
 
 } // namespace
 
-LookupService::LookupService(const Membership& membership, std::string zone)
+LookupService::LookupService(const Membership& membership, const Dialect& dialect, std::string zone)
     : membership(membership)
+    , dialect(dialect)
     , ownZone(std::move(zone))
 {
 }
@@ -24,6 +23,7 @@
         this->zoneNames.push_back(zone.name);
     this->ttl = active.config.settings.lookupTtl;
     this->version = active.version;
+    this->zoneHosts.clear();
     this->nextBuildAt = TimePoint {};
 }
 
@@ -33,45 +33,42 @@
         return;
     this->nextBuildAt = now + buildInterval;
     for (const auto& zone : this->zoneNames)
-        this->buildBody(zone);
+        this->updateHosts(zone);
     this->plan.tick([this](const std::string& zone) { return this->isUp(zone); }, now);
 }
 
-auto LookupService::answer(const HttpRequest& request, const std::string& callerIp) const -> HttpResponse
+auto LookupService::answer(const HttpRequest& request, const std::string& callerIp) -> HttpResponse
 {
-    const auto named = queryValue(request.target, "client");
-    const auto& ip = named.empty() ? callerIp : named;
-    const auto zone = this->plan.zoneFor(ip, [this](const std::string& name) { return this->isUp(name); });
-    auto response = HttpResponse {};
+    const auto query = this->dialect.readLookup(request);
+    const auto& ip = query.callerIp.empty() ? callerIp : query.callerIp;
+    const auto isZoneUp = [this](const std::string& name) { return this->isUp(name); };
+    const auto zone
+        = query.zone.empty() ? this->plan.zoneFor(ip, isZoneUp) : this->plan.zoneFor(query.zone, ip, isZoneUp);
     if (!zone || !this->isUp(*zone)) {
+        auto response = HttpResponse {};
         response.status = 503;
         return response;
     }
-    response.body = this->bodies.at(*zone);
-    response.fields.set("Content-Type", "application/json");
-    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(this->ttl).count();
-    response.fields.set("Cache-Control", "max-age=" + std::to_string(seconds));
-    return response;
+    auto& known = this->zoneHosts.at(*zone);
+    if (!known.response)
+        known.response = this->dialect.writeLookup({ *zone, known.hosts, this->ttl, this->version });
+    return *known.response;
 }
 
-auto LookupService::buildBody(const std::string& zone) -> void
+auto LookupService::updateHosts(const std::string& zone) -> void
 {
-    auto hosts = nlohmann::json::array();
+    auto hosts = std::vector<std::string> {};
     for (const auto& host : this->membership.hostsOf(zone)) {
         if (host.state == HostState::Serving)
-            hosts.push_back({ { "address", formatAddress(host.serviceAddress()) }, { "weight", 1 } });
+            hosts.push_back(formatAddress(host.serviceAddress()));
     }
-    if (hosts.empty()) {
-        this->bodies.erase(zone);
+    const auto known = this->zoneHosts.find(zone);
+    if (known != this->zoneHosts.end() && known->second.hosts == hosts)
         return;
-    }
-    const auto body = nlohmann::json {
-        { "zone", zone },
-        { "hosts", hosts },
-        { "ttl_ms", this->ttl.count() },
-        { "version", this->version },
-    };
-    this->bodies[zone] = body.dump();
+    if (hosts.empty())
+        this->zoneHosts.erase(zone);
+    else
+        this->zoneHosts[zone] = { std::move(hosts), std::nullopt };
 }
 
 } // namespace citronloft
--- a/src/citronloft/edge/pool_admission.cpp
+++ b/src/citronloft/edge/pool_admission.cpp
@@ -27,7 +27,7 @@
     if (!this->pool.isUsable(now))
         return { {}, ResultCode::NoTarget };
     if (this->queue->size() == 0) {
-        if (const auto target = this->pool.acquire(request.avoid, now))
+        if (const auto target = this->pool.acquireFor(request.wish, now))
             return { *target, ResultCode::Answered };
     }
     const auto id = this->nextId++;
@@ -35,13 +35,13 @@
     const auto admission = this->queue->offer(queued, this->pool.serviceTime(), this->pool.totalSlots(now), now);
     if (admission != Admission::Queued)
         return { {}, refusalOf(admission) };
-    auto waiter = std::make_shared<SlotWaiter>(this->context);
+    auto waiter = std::make_shared<SlotWaiter>(SlotWaiter { Waiter<SlotDecision>(this->context), request.wish });
     this->waiters[id] = waiter;
     caller.onGone([this, id, waiter] {
         this->queue->remove(id);
-        waiter->set({ {}, ResultCode::CallerGone });
+        waiter->decision.set({ {}, ResultCode::CallerGone });
     });
-    const auto decision = waiter->wait(request.deadline, yield);
+    const auto decision = waiter->decision.wait(request.deadline, yield);
     caller.onGone(nullptr);
     this->queue->remove(id);
     this->waiters.erase(id);
@@ -54,7 +54,7 @@
     const auto reserved = static_cast<double>(this->pool.totalSlots(now)) * reservedPart;
     if (this->queue->size() > 0 || static_cast<double>(this->pool.freeSlots(now)) <= reserved)
         return { {}, ResultCode::SpillRefused };
-    const auto target = this->pool.acquire({}, now);
+    const auto target = this->pool.acquireFor({}, now);
     return target ? SlotDecision { *target, ResultCode::Answered } : SlotDecision { {}, ResultCode::SpillRefused };
 }
 
@@ -69,7 +69,7 @@
     for (const auto& late : this->queue->removeLate(this->pool.serviceTime(), this->clock.now())) {
         const auto waiter = this->waiters.find(late.id);
         if (waiter != this->waiters.end())
-            waiter->second->set({ {}, ResultCode::DeadlineTooShort });
+            waiter->second->decision.set({ {}, ResultCode::DeadlineTooShort });
     }
     this->dispatch();
 }
@@ -82,16 +82,15 @@
 auto PoolAdmission::dispatch() -> void
 {
     const auto now = this->clock.now();
-    while (this->queue->size() > 0) {
-        const auto target = this->pool.acquire({}, now);
-        if (!target)
-            return;
+    while (this->queue->size() > 0 && this->pool.hasRoom(now)) {
         const auto next = this->queue->next();
         const auto waiter = next ? this->waiters.find(next->id) : this->waiters.end();
         if (waiter == this->waiters.end())
-            this->pool.release(*target, TargetResult::Abandoned, {}, now);
-        else
-            waiter->second->set({ *target, ResultCode::Answered });
+            continue;
+        // The room that there is may be none for this request: then it is refused rather than put in its place again.
+        const auto target = this->pool.acquireFor(waiter->second->wish, now);
+        waiter->second->decision.set(
+            target ? SlotDecision { *target, ResultCode::Answered } : SlotDecision { {}, ResultCode::NoTarget });
     }
 }
 
--- a/src/citronloft/edge/spill_router.cpp
+++ b/src/citronloft/edge/spill_router.cpp
@@ -29,11 +29,12 @@
 } // namespace
 
 SpillRouter::SpillRouter(const Clock& clock, Metrics& metrics, FleetHost& fleet, std::shared_ptr<HttpClient> client,
-    SpillRouterOption option)
+    const Dialect& dialect, SpillRouterOption option)
     : clock(clock)
     , metrics(metrics)
     , fleet(fleet)
     , client(std::move(client))
+    , dialect(dialect)
     , option(std::move(option))
     , signer(this->option.fleetSecret)
 {
@@ -79,7 +80,7 @@
 
 auto SpillRouter::forwardTo(Call& call, const HostEntry& host, boost::asio::yield_context yield) -> CallResult
 {
-    auto request = makeForwardedRequest(call, this->clock.now());
+    auto request = makeForwardedRequest(this->dialect, call, {}, this->clock.now());
     const auto ticket = SpillTicket { call.team == nullptr ? "" : call.team->name, call.route->name, randomId() };
     request.fields.set(spillHeader, this->signer.sign(ticket, request));
     auto cancel = ExchangeCancel {};
@@ -99,7 +100,7 @@
     const auto isAnswered = code == ResultCode::Answered;
     this->metrics.count("citronloft_spills_total", isAnswered ? "result=\"answered\"" : "result=\"refused\"");
     if (isAnswered)
-        cleanAnswer(exchange.response, call.request->method == "HEAD");
+        this->dialect.cleanAnswer(exchange.response, call.request->method == "HEAD");
     return { code, std::move(exchange.response), busyRetryAfter };
 }
 
@@ -120,7 +121,7 @@
 /// Serving hosts of other zones that report room for the pool: same region first, then by most room.
 auto SpillRouter::candidates(const Call& call) const -> std::vector<HostEntry>
 {
-    const auto pool = static_cast<std::uint32_t>(bucketId(call.route->pool));
+    const auto pool = static_cast<std::uint32_t>(bucketId(call.pool));
     auto hosts = this->fleet.membership().remoteHosts();
     std::erase_if(
         hosts, [&](const HostEntry& host) { return host.state != HostState::Serving || roomOf(host, pool) == 0; });
--- a/src/citronloft/fleet/config_follower.cpp
+++ b/src/citronloft/fleet/config_follower.cpp
@@ -35,14 +35,40 @@
 
 auto ConfigFollower::tick(TimePoint now) -> void
 {
-    if (!this->isWatching && now >= this->nextWatchAt && this->membership.isDelegate())
+    if (!this->isOffered && !this->isWatching && now >= this->nextWatchAt && this->membership.isDelegate())
         this->startWatch(now);
-    if (this->isFetching || now < this->nextFetchAt)
+    const auto peer = this->membership.hostWithNewerConfig(this->version());
+    if (!peer) {
+        this->behindSince = TimePoint {};
         return;
-    if (const auto peer = this->membership.hostWithNewerConfig(this->version()))
+    }
+    if (this->behindSince == TimePoint {})
+        this->behindSince = now;
+    if (!this->isFetching && now >= this->nextFetchAt && now >= this->behindSince + this->fetchPatience)
         this->startFetch(*peer, now);
 }
 
+auto ConfigFollower::followOffers(Duration patience) -> void
+{
+    this->isOffered = true;
+    this->fetchPatience = patience;
+}
+
+auto ConfigFollower::offer(std::uint64_t version, Config config) -> void
+{
+    this->freshAt = this->clock.now();
+    if (version <= this->version())
+        return;
+    auto offered = toRecords(config);
+    auto update = ConfigUpdate { this->version(), version, {}, diffRecords(this->records, offered) };
+    this->changeRecords(update.changes);
+    update.digest = this->digest.hex();
+    this->recent.push_back(std::move(update));
+    if (this->recent.size() > recentLimit)
+        this->recent.pop_front();
+    this->finish(version, std::move(config));
+}
+
 auto ConfigFollower::receive(const ConfigNotice& notice, const Address& from, TimePoint now) -> void
 {
     if (notice.version <= this->version())
@@ -67,7 +93,8 @@
 auto ConfigFollower::notePeer(const GossipMessage& message, TimePoint now) -> void
 {
     // A sender that is behind is told at once; it would hear of it from somebody else a second later.
-    if (message.zone == this->membership.self().zone && message.vitals.configVersion < this->version())
+    if (!this->isOffered && message.zone == this->membership.self().zone
+        && message.vitals.configVersion < this->version())
         this->transport.send(message.sender.peerAddress(), ConfigNotice { this->version(), std::nullopt });
     if (message.vitals.configVersion != this->version() || !this->current)
         return;
@@ -233,7 +260,8 @@
     const auto oldVersion = this->version();
     this->current = std::make_shared<const ActiveConfig>(ActiveConfig { version, std::move(config) });
     this->membership.vitals().configVersion = version;
-    this->notifyPeers(oldVersion);
+    if (!this->isOffered)
+        this->notifyPeers(oldVersion);
     this->inForce(this->current);
 }
 
--- /dev/null
+++ b/src/citronloft/fleet/discovery.cpp
@@ -0,0 +1,104 @@
+#include "citronloft/fleet/discovery.hpp"
+
+#include "citronloft/base/log.hpp"
+
+namespace citronloft {
+
+Discovery::Discovery(const Clock& clock, Metrics& metrics, std::shared_ptr<ObjectFeed> feed,
+    std::shared_ptr<const PlatformDecoder> decoder, std::uint64_t seed, DiscoveryListener listener)
+    : clock(clock)
+    , metrics(metrics)
+    , decoder(std::move(decoder))
+    , listener(std::move(listener))
+{
+    const auto mirror = [&](std::string kind, ObjectMirror::Changed changed) {
+        auto option = ObjectMirrorOption {};
+        option.kind = std::move(kind);
+        return std::make_shared<ObjectMirror>(std::move(option), clock, feed, seed++, std::move(changed));
+    };
+    this->configs = mirror(this->decoder->configKind(), [this](const auto& objects) { this->takeConfig(objects); });
+    this->targets = mirror(this->decoder->targetKind(), [this](const auto& objects) { this->takeTargets(objects); });
+    this->evacuations
+        = mirror(this->decoder->evacuationKind(), [this](const auto& objects) { this->takeEvacuations(objects); });
+}
+
+auto Discovery::tick(TimePoint now) -> void
+{
+    this->configs->tick(now);
+    this->targets->tick(now);
+    this->evacuations->tick(now);
+}
+
+auto Discovery::isReady() const -> bool
+{
+    return this->configs->isReady() && this->targets->isReady() && this->evacuations->isReady();
+}
+
+auto Discovery::takeConfig(const ObjectMirror::Objects& objects) -> void
+{
+    for (const auto& [name, object] : objects) {
+        if (object.revision <= this->configRevision)
+            continue;
+        auto config = this->decoder->decodeConfig(object);
+        if (absl::IsNotFound(config.status()))
+            continue;
+        this->configRevision = object.revision;
+        if (config.ok()) {
+            this->listener.onConfig(*std::move(config));
+            continue;
+        }
+        this->metrics.count("citronloft_malformed_objects_total", "kind=\"config\"");
+        LogEvent(LogLevel::Error, "config-refused")
+            .with("revision", object.revision)
+            .with("reason", std::string { config.status().message() });
+    }
+}
+
+auto Discovery::takeTargets(const ObjectMirror::Objects& objects) -> void
+{
+    auto found = DiscoveredTargets {};
+    auto current = std::map<std::string, Known> {};
+    for (const auto& [name, object] : objects) {
+        const auto old = this->entries.find(name);
+        const auto isKnown = old != this->entries.end() && old->second.revision == object.revision;
+        auto known = isKnown ? std::move(old->second) : Known { object.revision, this->decode(object) };
+        if (known.entry)
+            found[known.entry->pool].push_back(known.entry->live);
+        current.emplace(name, std::move(known));
+    }
+    this->entries = std::move(current);
+    this->listener.onTargets(std::move(found));
+}
+
+auto Discovery::decode(const MirroredObject& object) -> std::optional<TargetEntry>
+{
+    auto entry = this->decoder->decodeTarget(object);
+    if (!entry.ok()) {
+        this->metrics.count("citronloft_malformed_objects_total", "kind=\"target\"");
+        LogEvent(LogLevel::Warning, "target-ignored")
+            .with("name", object.name)
+            .with("revision", object.revision)
+            .with("reason", std::string { entry.status().message() });
+        return std::nullopt;
+    }
+    if (entry->coldFor.count() > 0)
+        entry->live.coldUntil = this->clock.now() + entry->coldFor;
+    LogEvent(LogLevel::Info, "target-seen")
+        .with("target", entry->live.key())
+        .with("address", entry->live.target.address)
+        .with("pool", entry->pool)
+        .with("draining", entry->live.target.draining ? 1 : 0)
+        .with("cold_ms", entry->coldFor.count())
+        .with("revision", object.revision);
+    return *std::move(entry);
+}
+
+auto Discovery::takeEvacuations(const ObjectMirror::Objects& objects) -> void
+{
+    auto zones = std::set<std::string> {};
+    for (const auto& [name, object] : objects)
+        zones.insert(name);
+    this->listener.onEvacuatedZones(std::move(zones));
+}
+
+} // namespace citronloft
--- a/src/citronloft/fleet/fleet_host.cpp
+++ b/src/citronloft/fleet/fleet_host.cpp
@@ -40,7 +40,9 @@
 
 FleetHost::FleetHost(FleetHostOption option, HostEntry self, FleetSurroundings surroundings, std::uint64_t seed,
     ConfigFollower::InForce inForce)
-    : surroundings(surroundings)
+    : option(option)
+    , surroundings(surroundings)
+    , evenShares({}, self.ip, surroundings.clock.now())
     , members(option.membership, self, surroundings.transport, seed)
     , lenders(std::make_unique<LenderList>(members))
     , holder(std::make_shared<ShareHolder>(
@@ -53,6 +55,8 @@
 {
     this->follower = std::make_shared<ConfigFollower>(surroundings.clock, this->members, surroundings.transport,
         surroundings.store, surroundings.fetcher, [this](const auto& active) { this->putInForce(active); });
+    if (option.isConfigOffered)
+        this->follower->followOffers(option.fetchPatience);
     this->members.setConfigAge([this] { return this->follower->age(this->surroundings.clock.now()); });
 }
 
@@ -66,13 +70,24 @@
     vitals.storeReachable = answeredAt != TimePoint {} && now - answeredAt < storeReachableFor;
     vitals.knownEpoch = this->holder->knownEpoch();
     this->members.tick(now);
-    this->zoneSteward->tick(now);
-    this->holder->tick(now);
+    if (this->option.shares == ShareStrategy::Leased) {
+        this->zoneSteward->tick(now);
+        this->holder->tick(now);
+    }
     this->follower->tick(now);
-    this->limiter.setSlots(this->holder->usable(now), now);
+    this->limiter.setSlots(this->usableSlots(now), now);
     this->limiter.tick(now);
 }
 
+auto FleetHost::usableSlots(TimePoint now) -> std::vector<SlotRange>
+{
+    if (this->option.shares == ShareStrategy::Leased)
+        return this->holder->usable(now);
+    for (const auto& peer : this->members.zonePeers())
+        this->evenShares.note(peer.ip, now);
+    return this->evenShares.usable(now);
+}
+
 auto FleetHost::receive(const Address& from, const PeerMessage& message) -> void
 {
     const auto now = this->surroundings.clock.now();
@@ -83,10 +98,10 @@
         this->zoneSteward->receive(*request, from, now);
     } else if (const auto* grant = std::get_if<RenewGrant>(&message)) {
         this->holder->receive(*grant, from, now);
-        this->limiter.setSlots(this->holder->usable(now), now);
+        this->limiter.setSlots(this->usableSlots(now), now);
     } else if (const auto* ask = std::get_if<LoanAsk>(&message)) {
         // A paused host may run this before its next tick; what it lends must still be its own.
-        this->limiter.setSlots(this->holder->usable(now), now);
+        this->limiter.setSlots(this->usableSlots(now), now);
         this->limiter.receive(*ask, from, now);
     } else if (const auto* loan = std::get_if<LoanGrant>(&message)) {
         this->limiter.receive(*loan, now);
@@ -105,6 +120,8 @@
 
 auto FleetHost::hasHandedOver() const -> bool
 {
+    if (this->option.shares == ShareStrategy::Even)
+        return true;
     const auto isOver = this->surroundings.clock.now() >= this->handOverUntil;
     return isOver || (this->holder->hasHandedOver() && this->zoneSteward->heldEpoch() == 0);
 }
--- /dev/null
+++ b/src/citronloft/fleet/object_mirror_test.cpp
@@ -0,0 +1,137 @@
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "citronloft/fleet/object_mirror.hpp"
+
+namespace citronloft {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::ElementsAre;
+
+/// Keeps the calls until the test answers them.
+class ScriptedFeed final : public ObjectFeed {
+public:
+    struct Call {
+        bool isWatch = false;
+        std::uint64_t revision = 0;
+        std::string after;
+        Done done;
+    };
+
+    auto list(const std::string&, const std::string& after, Done done) -> void override
+    {
+        this->calls.push_back({ false, 0, after, std::move(done) });
+    }
+
+    auto watch(const std::string&, std::uint64_t revision, Duration, Done done) -> void override
+    {
+        this->calls.push_back({ true, revision, {}, std::move(done) });
+    }
+
+    auto answer(absl::StatusOr<ObjectBatch> batch) -> void
+    {
+        const auto call = std::move(this->calls.back());
+        this->calls.pop_back();
+        call.done(std::move(batch));
+    }
+
+    std::vector<Call> calls;
+};
+
+class ObjectMirrorTest : public testing::Test {
+protected:
+    auto tickFor(Duration time) -> void
+    {
+        for (auto passed = Duration {}; passed <= time; passed += 10ms) {
+            this->mirror->tick(this->clock.now());
+            this->clock.advance(10ms);
+        }
+    }
+
+    auto names() const -> std::vector<std::string>
+    {
+        auto list = std::vector<std::string> {};
+        for (const auto& [name, object] : this->mirror->objects())
+            list.push_back(name);
+        return list;
+    }
+
+    /// Answers the first list.
+    auto listed(std::vector<MirroredObject> objects, std::uint64_t revision) -> void
+    {
+        this->tickFor(0ms);
+        this->feed->answer(ObjectBatch { std::move(objects), false, revision });
+        this->tickFor(0ms);
+    }
+
+    ManualClock clock;
+    std::shared_ptr<ScriptedFeed> feed = std::make_shared<ScriptedFeed>();
+    int changes = 0;
+    std::shared_ptr<ObjectMirror> mirror = std::make_shared<ObjectMirror>(
+        ObjectMirrorOption { .kind = "targets" }, clock, feed, 1, [this](const auto&) { ++this->changes; });
+};
+
+TEST_F(ObjectMirrorTest, ListIsReadPageByPageAndWatchedFromItsFirstPage)
+{
+    this->tickFor(0ms);
+    this->feed->answer(ObjectBatch { { { "a", 3, "", false } }, true, 7 });
+    EXPECT_FALSE(this->mirror->isReady());
+    EXPECT_EQ(this->feed->calls.back().after, "a");
+    this->feed->answer(ObjectBatch { { { "b", 9, "", false } }, false, 9 });
+    EXPECT_THAT(this->names(), ElementsAre("a", "b"));
+    this->tickFor(0ms);
+    EXPECT_TRUE(this->feed->calls.back().isWatch);
+    EXPECT_EQ(this->feed->calls.back().revision, 7U);
+}
+
+TEST_F(ObjectMirrorTest, OlderEventsAndListsAreNotBelieved)
+{
+    this->listed({ { "a", 8, "new", false } }, 9);
+    this->feed->answer(ObjectBatch { { { "a", 5, "old", false } }, false, 9 });
+    EXPECT_EQ(this->mirror->objects().at("a").body, "new");
+    this->tickFor(200ms);
+    this->feed->answer(absl::OutOfRangeError("gone"));
+    this->tickFor(0ms);
+    this->feed->answer(ObjectBatch { { { "a", 4, "older", false } }, false, 6 });
+    EXPECT_EQ(this->mirror->objects().at("a").body, "new");
+}
+
+TEST_F(ObjectMirrorTest, DeletionIsBelievedAtOnceWhileTheStoreIsThere)
+{
+    this->listed({ { "a", 1, "", false }, { "b", 2, "", false } }, 2);
+    this->feed->answer(ObjectBatch { { { "a", 3, "", true } }, false, 3 });
+    EXPECT_THAT(this->names(), ElementsAre("b"));
+}
+
+TEST_F(ObjectMirrorTest, ObjectsThatAreMissingAfterAnOutageAreKeptForAMoment)
+{
+    this->listed({ { "a", 1, "", false }, { "b", 2, "", false } }, 2);
+    this->feed->answer(absl::UnavailableError("down"));
+    this->tickFor(300ms);
+    // The answer that ends the outage names both as gone; one of them registers again.
+    this->feed->answer(ObjectBatch { { { "a", 3, "", true }, { "b", 4, "", true } }, false, 4 });
+    EXPECT_THAT(this->names(), ElementsAre("a", "b"));
+    this->tickFor(500ms);
+    this->feed->answer(ObjectBatch { { { "b", 5, "", false } }, false, 5 });
+    this->tickFor(1600ms);
+    EXPECT_THAT(this->names(), ElementsAre("b"));
+}
+
+TEST_F(ObjectMirrorTest, FailuresAreRepeatedWithGrowingPauses)
+{
+    auto calls = 0;
+    for (auto passed = 0ms; passed < 10s; passed += 10ms) {
+        this->mirror->tick(this->clock.now());
+        this->clock.advance(10ms);
+        if (this->feed->calls.empty())
+            continue;
+        ++calls;
+        this->feed->answer(absl::UnavailableError("down"));
+    }
+    EXPECT_GT(calls, 5);
+    EXPECT_LT(calls, 20);
+}
+
+} // namespace
+} // namespace citronloft
--- a/src/citronloft/policy/lookup_planner.cpp
+++ b/src/citronloft/policy/lookup_planner.cpp
@@ -60,7 +60,20 @@
 {
     const auto bits = parseIp(ip);
     const auto found = bits.ok() ? this->blocks.find(*bits) : std::nullopt;
-    const auto index = found ? std::size_t { *found } : this->ownZone;
+    return this->zoneFor(found ? std::size_t { *found } : this->ownZone, ip, isUp);
+}
+
+auto LookupPlanner::zoneFor(const std::string& zone, const std::string& ip, const ZoneIsUp& isUp) const
+    -> std::optional<std::string>
+{
+    const auto found = std::ranges::find(this->zones, zone, [](const ZoneState& state) { return state.zone.name; });
+    const auto index = static_cast<std::size_t>(found - this->zones.begin());
+    return this->zoneFor(found == this->zones.end() ? this->ownZone : index, ip, isUp);
+}
+
+auto LookupPlanner::zoneFor(std::size_t index, const std::string& ip, const ZoneIsUp& isUp) const
+    -> std::optional<std::string>
+{
     if (index >= this->zones.size())
         return std::nullopt;
     const auto& home = this->zones[index];
--- a/src/citronloft/policy/retry.cpp
+++ b/src/citronloft/policy/retry.cpp
@@ -10,6 +10,12 @@
 {
 }
 
+auto RetryBudget::setOption(RetryOption changed) -> void
+{
+    this->option = changed;
+    this->balance = std::min(this->balance, changed.budgetCap);
+}
+
 auto RetryBudget::recordFirstAttempt() -> void
 {
     this->balance = std::min(this->balance + this->option.budgetRatio, this->option.budgetCap);
@@ -18,7 +24,7 @@
 auto RetryBudget::tryRetry(const AttemptResult& result, TimePoint now) -> bool
 {
     const auto isSafe = result.outcome == Outcome::NotRun || (result.outcome == Outcome::Unknown && result.idempotent);
-    if (!isSafe || result.attempts >= this->option.attempts || now >= result.deadline || this->balance < 1)
+    if (!isSafe || result.attempts >= result.greatestAttempts || now >= result.deadline || this->balance < 1)
         return false;
     this->balance -= 1;
     return true;
--- a/src/citronloft/policy/route_table.cpp
+++ b/src/citronloft/policy/route_table.cpp
@@ -16,6 +16,17 @@
     return prefix.ends_with('/') || path.size() == prefix.size() || path[prefix.size()] == '/';
 }
 
+auto equalsIgnoringCase(std::string_view left, std::string_view right) -> bool
+{
+    return std::ranges::equal(
+        left, right, [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
+}
+
+auto takesHost(const Route& route, std::string_view host) -> bool
+{
+    return route.host.empty() || equalsIgnoringCase(route.host, host.substr(0, host.rfind(':')));
+}
+
 auto takesMethod(const Route& route, std::string_view method) -> bool
 {
     return route.methods.empty() || std::ranges::find(route.methods, method) != route.methods.end();
@@ -27,14 +38,17 @@
 {
     for (const auto& route : config.routes)
         this->routes.push_back(&route);
-    std::ranges::stable_sort(this->routes, std::greater {}, [](const Route* route) { return route->prefix.size(); });
+    std::ranges::stable_sort(this->routes, std::greater {}, [](const Route* route) {
+        return std::pair { route->prefix.size(), !route->host.empty() };
+    });
 }
 
-auto RouteTable::find(std::string_view method, std::string_view target) const -> const Route*
+auto RouteTable::find(std::string_view method, std::string_view host, std::string_view target) const -> const Route*
 {
     const auto path = pathOf(target);
-    const auto found = std::ranges::find_if(this->routes,
-        [&](const Route* route) { return hasPrefix(path, route->prefix) && takesMethod(*route, method); });
+    const auto found = std::ranges::find_if(this->routes, [&](const Route* route) {
+        return hasPrefix(path, route->prefix) && takesHost(*route, host) && takesMethod(*route, method);
+    });
     return found == this->routes.end() ? nullptr : *found;
 }
 
--- a/src/citronloft/policy/rules_test.cpp
+++ b/src/citronloft/policy/rules_test.cpp
@@ -25,7 +25,7 @@
 
 TEST(Retry, StopsAtDeadlineAttemptsAndBudget)
 {
-    auto budget = RetryBudget({ .attempts = 3, .budgetRatio = 0.1, .budgetCap = 2 });
+    auto budget = RetryBudget({ .budgetRatio = 0.1, .budgetCap = 2 });
     EXPECT_FALSE(budget.tryRetry({ Outcome::NotRun, true, 1, start }, start));
     EXPECT_FALSE(budget.tryRetry({ Outcome::NotRun, true, 3, start + 1s }, start));
     EXPECT_TRUE(budget.tryRetry({ Outcome::NotRun, true, 1, start + 1s }, start));
@@ -62,10 +62,10 @@
     config.routes[2].prefix = "/plans/pay";
     config.routes[2].methods = { "POST" };
     const auto routes = RouteTable(config);
-    EXPECT_EQ(routes.find("GET", "/plans/1?x=1")->name, "plans");
-    EXPECT_EQ(routes.find("GET", "/plansx")->name, "all");
-    EXPECT_EQ(routes.find("POST", "/plans/pay")->name, "pay");
-    EXPECT_EQ(routes.find("GET", "/plans/pay")->name, "plans");
+    EXPECT_EQ(routes.find("GET", "any.example", "/plans/1?x=1")->name, "plans");
+    EXPECT_EQ(routes.find("GET", "any.example", "/plansx")->name, "all");
+    EXPECT_EQ(routes.find("POST", "any.example", "/plans/pay")->name, "pay");
+    EXPECT_EQ(routes.find("GET", "any.example", "/plans/pay")->name, "plans");
 }
 
 TEST(RouteTable, RejectsPathsThatTargetsMayReadDifferently)
--- a/src/citronloft/policy/target_pool.cpp
+++ b/src/citronloft/policy/target_pool.cpp
@@ -1,8 +1,11 @@
 #include "citronloft/policy/target_pool.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
+#include <xxhash.h>
+
 namespace citronloft {
 
 namespace {
@@ -16,6 +19,15 @@
     return std::chrono::duration<double>(part).count() / std::chrono::duration<double>(whole).count();
 }
 
+/// Weighted rendezvous hashing: -weight / ln(u) with u uniform in (0, 1) from the hashes of target and object.
+auto rendezvousScore(std::uint64_t target, std::uint64_t object, double weight) -> double
+{
+    const auto mixed = XXH3_64bits_withSeed(&target, sizeof target, object);
+    constexpr auto mantissaBits = 53U;
+    const auto u = (static_cast<double>(mixed >> (64U - mantissaBits)) + 0.5) / std::exp2(mantissaBits);
+    return -weight / std::log(u);
+}
+
 } // namespace
 
 TargetPool::TargetPool(TargetPoolOption option, std::uint64_t seed)
@@ -25,16 +37,27 @@
 }
 
 auto TargetPool::setTargets(const std::vector<Target>& targets, TimePoint now) -> void
+{
+    auto live = std::vector<LiveTarget> {};
+    for (const auto& target : targets)
+        live.emplace_back().target = target;
+    this->setLiveTargets(live, now);
+}
+
+auto TargetPool::setLiveTargets(const std::vector<LiveTarget>& targets, TimePoint now) -> void
 {
     auto kept = std::vector<Member> {};
-    for (const auto& target : targets) {
-        auto* old = this->find(target.address);
+    for (const auto& live : targets) {
+        const auto key = live.key();
+        auto* old = this->find(key);
         auto member = old == nullptr ? Member {} : std::move(*old);
         if (!member.health) {
             member.health = makeTargetHealth();
+            member.key = key;
+            member.hash = XXH3_64bits(key.data(), key.size());
             member.rampStartedAt = now;
         }
-        member.target = target;
+        member.live = live;
         this->updateDrain(member);
         kept.push_back(std::move(member));
     }
@@ -42,27 +65,112 @@
 }
 
 auto TargetPool::acquire(const std::string& avoid, TimePoint now) -> std::optional<std::string>
+{
+    auto wish = TargetWish {};
+    if (!avoid.empty())
+        wish.avoid.push_back(avoid);
+    auto chosen = this->acquireFor(wish, now);
+    return chosen || avoid.empty() ? chosen : this->acquireFor({}, now);
+}
+
+auto TargetPool::acquireFor(const TargetWish& wish, TimePoint now) -> std::optional<std::string>
+{
+    auto* chosen = wish.object ? this->chooseByObject(wish, *wish.object, now) : this->chooseByTwo(wish, now);
+    if (chosen == nullptr)
+        return std::nullopt;
+    return this->take(*chosen, now);
+}
+
+auto TargetPool::chooseByTwo(const TargetWish& wish, TimePoint now) -> Member*
 {
     auto open = std::vector<Member*> {};
     for (auto& member : this->members) {
-        if (this->takesWork(member) && member.inFlight < this->limitOf(member, now))
+        if (this->isOpen(member, wish, now))
             open.push_back(&member);
     }
-    if (open.size() > 1)
-        std::erase_if(open, [&](const Member* member) { return member->target.address == avoid; });
     if (open.empty())
-        return std::nullopt;
+        return nullptr;
     const auto bound = static_cast<std::uint32_t>(open.size());
     auto* first = open[this->random(bound)];
     auto* second = open[this->random(bound)];
-    auto* chosen = this->loadOf(*second, now) < this->loadOf(*first, now) ? second : first;
-    ++chosen->inFlight;
-    return chosen->target.address;
+    return this->loadOf(*second, now) < this->loadOf(*first, now) ? second : first;
 }
 
-auto TargetPool::release(const std::string& address, TargetResult result, Duration latency, TimePoint now) -> void
+/// The first target in the object's order that has a free slot; without one, the least loaded whose queue is short.
+auto TargetPool::chooseByObject(const TargetWish& wish, std::uint64_t object, TimePoint now) -> Member*
 {
-    auto* member = this->find(address);
+    auto* best = static_cast<Member*>(nullptr);
+    auto bestScore = 0.0;
+    auto* leastLoaded = static_cast<Member*>(nullptr);
+    auto leastLoad = 1 + this->option.queueAtTarget;
+    for (auto& member : this->members) {
+        if (!this->isOpen(member, wish, now))
+            continue;
+        const auto load = this->loadOf(member, now);
+        if (load < leastLoad) {
+            leastLoad = load;
+            leastLoaded = &member;
+        }
+        if (load >= 1)
+            continue;
+        const auto score = rendezvousScore(member.hash, object, this->weightOf(member));
+        if (best == nullptr || score > bestScore) {
+            best = &member;
+            bestScore = score;
+        }
+    }
+    return best == nullptr ? leastLoaded : best;
+}
+
+auto TargetPool::take(Member& member, TimePoint now) -> std::string
+{
+    ++member.inFlight;
+    if (member.live.coldRate > 0 && now < member.live.coldUntil)
+        member.coldTokens -= 1;
+    return member.key;
+}
+
+auto TargetPool::isOpen(Member& member, const TargetWish& wish, TimePoint now) -> bool
+{
+    this->endEjection(member, now);
+    if (!this->takesWork(member) || member.inFlight >= this->limitOf(member, now))
+        return false;
+    if (std::ranges::find(wish.avoid, member.key) != wish.avoid.end())
+        return false;
+    const auto& regions = wish.regions;
+    if (!regions.empty() && std::ranges::find(regions, member.live.region) == regions.end())
+        return false;
+    if (member.live.coldRate <= 0 || now >= member.live.coldUntil)
+        return true;
+    this->refillCold(member, now);
+    return member.coldTokens >= 1;
+}
+
+/// A bucket of one token at this host's part of the cold rate; a new one starts empty, since it may follow a restart.
+auto TargetPool::refillCold(Member& member, TimePoint now) -> void
+{
+    const auto rate = this->coldPart ? this->coldPart(member.live) : member.live.coldRate;
+    if (member.coldTokensAt == TimePoint {})
+        member.coldTokensAt = now;
+    const auto minted = std::chrono::duration<double>(now - member.coldTokensAt).count() * rate;
+    member.coldTokens = std::min(member.coldTokens + minted, 1.0);
+    member.coldTokensAt = now;
+}
+
+/// An ejected target that no probe asks comes back on trial: one more failure ejects it again.
+auto TargetPool::endEjection(Member& member, TimePoint now) -> void
+{
+    const auto isOver = member.health->state() == TargetState::Ejected && now >= member.ejectedUntil;
+    if (!this->option.returnsWithoutProbe || !isOver)
+        return;
+    member.health->process(TargetEvent::ProbeOk);
+    member.rampStartedAt = now;
+    member.failures = this->option.failuresToEject - 1;
+}
+
+auto TargetPool::release(const std::string& key, TargetResult result, Duration latency, TimePoint now) -> void
+{
+    auto* member = this->find(key);
     if (member == nullptr)
         return;
     member->inFlight -= std::min(member->inFlight, 1U);
@@ -73,34 +181,41 @@
         break;
     case TargetResult::Shed:
         member->shedAt = now;
-        member->shedFactor = std::max(member->shedFactor / 2, leastShedFactor);
+        member->shedFactor = std::max(member->shedFactor * this->option.shedBackoff, leastShedFactor);
         break;
     case TargetResult::Failed:
-        this->recordFailure(*member, now);
+        this->recordFailure(*member, 1, now);
+        break;
+    case TargetResult::Unreachable:
+        this->recordFailure(*member, this->option.failuresToEject, now);
+        break;
+    case TargetResult::Misdirected:
+        member->isMisdirected = true;
         break;
     case TargetResult::Abandoned:
         break;
     }
 }
 
-auto TargetPool::report(const std::string& address, TargetReport report, TimePoint now) -> void
+auto TargetPool::report(const std::string& key, TargetReport report, TimePoint now) -> void
 {
-    auto* member = this->find(address);
+    auto* member = this->find(key);
     if (member == nullptr)
         return;
     member->reportedAt = now;
     member->reportedInFlight = report.inFlight;
+    member->othersInFlight = report.inFlight - std::min(report.inFlight, member->inFlight);
     member->reportedDraining = report.draining;
     this->updateDrain(*member);
 }
 
-auto TargetPool::probed(const std::string& address, bool ok, TimePoint now) -> void
+auto TargetPool::probed(const std::string& key, bool ok, TimePoint now) -> void
 {
-    auto* member = this->find(address);
+    auto* member = this->find(key);
     if (member == nullptr)
         return;
     if (!ok) {
-        this->recordFailure(*member, now);
+        this->recordFailure(*member, 1, now);
         return;
     }
     // A probe that succeeds does not outweigh requests that fail: an ejection runs its time first.
@@ -137,39 +252,59 @@
     return sum;
 }
 
-auto TargetPool::connectionLimit(const std::string& address) const -> std::uint32_t
+auto TargetPool::hasRoom(TimePoint now) const -> bool
 {
-    const auto member = std::ranges::find(this->members, address, [](const Member& m) { return m.target.address; });
-    if (member == this->members.end())
+    return std::ranges::any_of(this->members, [&](const Member& member) {
+        return this->takesWork(member) && member.inFlight < this->limitOf(member, now)
+            && this->loadOf(member, now) < 1 + this->option.queueAtTarget;
+    });
+}
+
+auto TargetPool::connectionLimit(const std::string& key) const -> std::uint32_t
+{
+    const auto* member = this->find(key);
+    if (member == nullptr)
         return 0;
-    const auto part = std::floor(member->target.connections * this->hostPart);
+    const auto part = std::floor(member->live.target.connections * this->hostPart);
     return std::max(static_cast<std::uint32_t>(part), 1U);
 }
 
+auto TargetPool::target(const std::string& key) const -> const LiveTarget*
+{
+    const auto* member = this->find(key);
+    return member == nullptr ? nullptr : &member->live;
+}
+
 auto TargetPool::views(TimePoint now) const -> std::vector<TargetView>
 {
     auto list = std::vector<TargetView> {};
     for (const auto& member : this->members)
-        list.push_back({ member.target.address, member.health->state(), member.inFlight, this->limitOf(member, now) });
+        list.push_back(
+            { member.live.target.address, member.health->state(), member.inFlight, this->limitOf(member, now) });
     return list;
 }
 
-auto TargetPool::find(const std::string& address) -> Member*
+auto TargetPool::find(const std::string& key) -> Member*
+{
+    const auto found = std::ranges::find(this->members, key, &Member::key);
+    return found == this->members.end() ? nullptr : &*found;
+}
+
+auto TargetPool::find(const std::string& key) const -> const Member*
 {
-    const auto found
-        = std::ranges::find(this->members, address, [](const Member& member) { return member.target.address; });
+    const auto found = std::ranges::find(this->members, key, &Member::key);
     return found == this->members.end() ? nullptr : &*found;
 }
 
 auto TargetPool::updateDrain(Member& member) -> void
 {
-    const auto drains = member.target.draining || member.reportedDraining;
+    const auto drains = member.live.target.draining || member.reportedDraining;
     member.health->process(drains ? TargetEvent::DrainStart : TargetEvent::DrainEnd);
 }
 
-auto TargetPool::recordFailure(Member& member, TimePoint now) -> void
+auto TargetPool::recordFailure(Member& member, unsigned weight, TimePoint now) -> void
 {
-    ++member.failures;
+    member.failures += weight;
     const auto isOut
         = member.health->state() == TargetState::Ejected || member.health->state() == TargetState::Draining;
     if (isOut || member.failures < this->option.failuresToEject || !this->mayEject())
@@ -204,13 +339,15 @@
 
 auto TargetPool::takesWork(const Member& member) const -> bool
 {
+    if (member.live.evacuated || member.isMisdirected)
+        return false;
     const auto state = member.health->state();
     return state != TargetState::Ejected && state != TargetState::Draining;
 }
 
 auto TargetPool::limitOf(const Member& member, TimePoint now) const -> std::uint32_t
 {
-    const auto slots = static_cast<double>(member.target.slots);
+    const auto slots = static_cast<double>(member.live.target.slots);
     const auto part = std::min(std::ceil(slots * this->hostPart * this->option.overcommit), slots);
     auto factor = member.shedFactor;
     if (member.health->state() != TargetState::Healthy)
@@ -224,11 +361,18 @@
     const auto isRecent = now - member.reportedAt < this->option.reportMaxAge;
     const auto hasShed = now - member.shedAt < this->option.distrustAfterShed && member.shedAt != TimePoint {};
     auto load = static_cast<double>(member.inFlight);
+    if (isRecent)
+        load = std::max(load + member.othersInFlight, static_cast<double>(member.reportedInFlight));
     if (hasShed)
-        load = std::max(load, static_cast<double>(member.target.slots));
-    else if (isRecent)
-        load = std::max(load, static_cast<double>(member.reportedInFlight));
-    return load / static_cast<double>(member.target.slots);
+        load = std::max(load, static_cast<double>(member.live.target.slots));
+    return load / static_cast<double>(member.live.target.slots);
+}
+
+auto TargetPool::weightOf(const Member& member) const -> double
+{
+    const auto byDistance
+        = std::array { this->option.zoneWeight, this->option.regionWeight, this->option.remoteWeight };
+    return member.live.target.slots * byDistance.at(static_cast<std::size_t>(member.live.distance));
 }
 
 } // namespace citronloft
