--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -26,7 +26,7 @@
 namespace citronloft {
 
 /// @brief Order of waiting requests.
-enum class QueueStrategy : std::uint8_t { Fair, Fifo };
+enum class QueueStrategy : std::uint8_t { Fair, Fifo, Urgency };
 
 /// @brief Options of the callers' side.
 struct GatewayOption {
@@ -109,7 +109,8 @@
     auto findPool(Call& call) -> void;
     auto applyTargets(const Pool& pool) -> void;
     [[nodiscard]] auto liveTargetsOf(const Pool& pool) const -> std::vector<LiveTarget>;
-    [[nodiscard]] auto distanceTo(const std::string& zone) const -> Distance;
+    auto recordLatency(const Call& call, Duration latency) -> void;
+    [[nodiscard]] auto slotRequestOf(const Call& call, const TargetWish& wish) const -> SlotRequest;
     auto wishOf(const Call& call) -> TargetWish;
     auto setDeadline(Call& call) const -> void;
     auto admitRate(const Call& call, boost::asio::yield_context yield) -> RateDecision;
@@ -135,6 +136,8 @@
     DiscoveredTargets discovered;
     std::set<std::string> evacuatedZones;
     pcg32 random;
+    /// Smoothed time from sending a request to its answer, by route.
+    std::map<std::string, Duration> routeLatencies;
     std::shared_ptr<HttpClient> client;
     TargetProber prober;
     SpillRouter spillRouter;
--- a/include/citronloft/edge/pool_admission.hpp
+++ b/include/citronloft/edge/pool_admission.hpp
@@ -25,6 +25,9 @@
     std::uint32_t weight = 1;
     TimePoint deadline;
     TargetWish wish;
+    std::uint32_t rank = 0;
+    /// Latest start at which the request is answered within its objective.
+    TimePoint usefulUntil {};
 };
 
 /// @brief A target with a slot, or the reason why there is none.
@@ -67,6 +70,7 @@
     };
 
     auto dispatch() -> void;
+    [[nodiscard]] auto concurrency(TimePoint now) const -> std::size_t;
 
     boost::asio::io_context& context;
     const Clock& clock;
--- a/include/citronloft/policy/fair_queue.hpp
+++ b/include/citronloft/policy/fair_queue.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -20,6 +21,10 @@
     std::size_t team = 0;
     std::uint32_t weight = 1;
     TimePoint deadline;
+    /// Rank among waiting requests, 0 is served first.
+    std::uint32_t rank = 0;
+    /// Latest start at which the request is answered within its objective.
+    TimePoint usefulUntil {};
 };
 
 /// @brief Result of offering a request to the queue.
@@ -43,6 +48,19 @@
     virtual auto offer(const QueuedRequest& request, Duration serviceTime, std::size_t slots, TimePoint now)
         -> Admission = 0;
 
+    /// @brief Starts a request and says whether it could be started.
+    using TryStart = std::function<bool(const QueuedRequest&)>;
+
+    /// @brief Offers waiting requests to `tryStart` in their order and removes the first that it starts.
+    ///
+    /// A queue whose order must be kept offers its first request only, and drops it if it can't be started.
+    /// @return whether a request was removed.
+    virtual auto takeFirst(const TryStart& tryStart) -> bool
+    {
+        const auto first = this->next();
+        return first && (tryStart(*first), true);
+    }
+
     /// @return the next request to send, or nothing if none waits.
     virtual auto next() -> std::optional<QueuedRequest> = 0;
 
@@ -59,6 +77,12 @@
 /// @brief Deficit round robin over teams by weight: a team at several times its rate delays only itself.
 auto makeFairQueue(FairQueueOption option = {}) -> std::unique_ptr<RequestQueue>;
 
+/// @brief Requests that can still be answered within their objective go first, by rank and urgency; the others wait in
+/// a short lane for targets that nobody else needs, and are given up soon.
+///
+/// Load pattern: demand above capacity for seconds. A queue in order of arrival then answers every request late.
+auto makeUrgencyQueue(FairQueueOption option = {}) -> std::unique_ptr<RequestQueue>;
+
 /// @brief First in, first out; the baseline that the fair queue is measured against.
 auto makeFifoQueue(FairQueueOption option = {}) -> std::unique_ptr<RequestQueue>;
 
--- a/include/citronloft/policy/live_target.hpp
+++ b/include/citronloft/policy/live_target.hpp
@@ -10,9 +10,6 @@
 
 namespace citronloft {
 
-/// @brief How far a target is from a host.
-enum class Distance : std::uint8_t { SameZone, SameRegion, OtherRegion };
-
 /// @brief A target of a pool at one moment.
 struct LiveTarget {
     Target target;
@@ -21,7 +18,8 @@
     /// Start of the target's process in milliseconds of its own clock; another value is another incarnation.
     std::int64_t startedAtMs = 0;
     std::string region;
-    Distance distance = Distance::SameZone;
+    /// Part of the objects that the target should hold, relative to the others of its pool.
+    double weight = 1;
     /// Until then the target bears only its pool's cold rate; the default is a warm target.
     TimePoint coldUntil {};
     /// Requests per second that a cold target bears from all hosts together; 0: no limit.
--- a/include/citronloft/policy/target_pool.hpp
+++ b/include/citronloft/policy/target_pool.hpp
@@ -38,11 +38,9 @@
     double shedBackoff = 0.5;
     /// True: an ejected target is tried again by a request once its ejection is over, without a probe.
     bool returnsWithoutProbe = false;
-    /// Weight of a target by its distance when objects are spread: own zone, own region, other regions. The ratios
-    /// weigh the price and the time of a hop against an even use of targets.
-    double zoneWeight = 16;
-    double regionWeight = 4;
-    double remoteWeight = 1;
+    /// Targets that an object's requests are sent to, the first with a free slot each time. Few keep the object warm
+    /// there; a request that would go further runs several times as long and takes the room of others.
+    std::size_t targetsPerObject = 3;
     /// Requests waiting at a target, as a part of its slots, up to which more are sent there when no slot is free.
     double queueAtTarget = 0.35;
 };
@@ -141,6 +139,9 @@
     /// @return requests that may be in flight at the same time.
     [[nodiscard]] auto totalSlots(TimePoint now) const -> std::uint32_t;
 
+    /// @return requests that this host has in flight.
+    [[nodiscard]] auto inFlight() const -> std::size_t;
+
     /// @return smoothed time that a target needs for one request.
     [[nodiscard]] auto serviceTime() const -> Duration { return this->meanLatency; }
 
@@ -177,6 +178,7 @@
 
     struct Scored {
         double score = 0;
+        double load = 0;
         Member* member = nullptr;
     };
 
@@ -195,11 +197,12 @@
     [[nodiscard]] auto takesWork(const Member& member) const -> bool;
     [[nodiscard]] auto limitOf(const Member& member, TimePoint now) const -> std::uint32_t;
     [[nodiscard]] auto loadOf(const Member& member, TimePoint now) const -> double;
-    [[nodiscard]] auto weightOf(const Member& member) const -> double;
 
     TargetPoolOption option;
     pcg32 random;
     std::vector<Member> members;
+    /// The targets of the object that is being placed; a member so that no request allocates it.
+    std::vector<Scored> scored;
     ColdPart coldPart;
     double hostPart = 1;
     Duration meanLatency = std::chrono::milliseconds { 5 };
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -134,6 +134,7 @@
     if (!this->usesAdapter())
         return option;
     option.dialect = this->platform.dialect;
+    option.queue = QueueStrategy::Urgency;
     option.discoversTargets = true;
     option.servesLookups = false;
     option.limitsFirstAttempt = false;
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -1,10 +1,12 @@
 #include "citronloft/edge/gateway.hpp"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 #include "citronloft/base/digest.hpp"
 #include "citronloft/base/log.hpp"
+#include "citronloft/policy/zone_shares.hpp"
 
 namespace citronloft {
 
@@ -15,6 +17,12 @@
 constexpr auto openTeamIndex = std::size_t { 1'000'000 };
 constexpr auto leastAttemptTime = std::chrono::milliseconds { 250 };
 constexpr auto attemptLatencies = 8;
+/// Weight of a target that no request should go to while others take it: the last choice, but one.
+constexpr auto leastTargetWeight = 1e-6;
+/// Weight of the newest answer in a route's smoothed latency.
+constexpr auto latencyWeight = 0.1;
+/// Ranks of routes within one rank of teams.
+constexpr auto ranksPerTeamRank = 1000U;
 
 auto codeOf(ExchangeError error) -> ResultCode
 {
@@ -53,6 +61,9 @@
     return TargetResult::Answered;
 }
 
+/// In the order of QueueStrategy.
+constexpr auto queueMakers = std::to_array({ makeFairQueue, makeFifoQueue, makeUrgencyQueue });
+
 const auto noRegions = std::vector<std::string> {};
 
 auto randomHash(pcg32& random) -> std::uint64_t { return (std::uint64_t { random() } << 32U) | random(); }
@@ -105,7 +116,7 @@
         this->retryBudgets.try_emplace(pool.name, this->option.retry);
         auto& admission = this->admissions[pool.name];
         if (!admission) {
-            const auto makeQueue = this->option.queue == QueueStrategy::Fifo ? makeFifoQueue : makeFairQueue;
+            const auto makeQueue = queueMakers.at(static_cast<std::size_t>(this->option.queue));
             admission = std::make_unique<PoolAdmission>(this->context, this->clock, makeQueue(this->option.queueLimits),
                 TargetPool(this->option.targets, randomId()));
             admission->targets().setColdPart(this->coldPart);
@@ -163,29 +174,30 @@
     if (found == this->discovered.end())
         return {};
     auto targets = found->second;
-    const auto& zones = this->snapshot->active->config.zones;
+    auto capacities = std::vector<ZoneCapacity> {};
+    for (const auto& zone : this->snapshot->active->config.zones)
+        capacities.push_back({ zone.name, zone.region, 0 });
     for (auto& live : targets) {
-        const auto zone = std::ranges::find(zones, live.target.zone, &Zone::name);
-        live.region = zone == zones.end() ? std::string {} : zone->region;
-        live.distance = this->distanceTo(live.target.zone);
+        const auto zone = std::ranges::find(capacities, live.target.zone, &ZoneCapacity::zone);
         live.target.connections = pool.connections;
         live.coldRate = pool.coldRate;
         live.evacuated = this->evacuatedZones.contains(live.target.zone);
+        if (zone == capacities.end())
+            continue;
+        live.region = zone->region;
+        if (!live.evacuated && !live.target.draining)
+            zone->slots += live.target.slots;
+    }
+    const auto shares = shareAmongZones(capacities, this->option.zone);
+    for (auto& live : targets) {
+        const auto share = shares.find(live.target.zone);
+        const auto zone = std::ranges::find(capacities, live.target.zone, &ZoneCapacity::zone);
+        const auto part = share == shares.end() || zone->slots <= 0 ? 0 : share->second / zone->slots;
+        live.weight = std::max(part * live.target.slots, leastTargetWeight);
     }
     return targets;
 }
 
-auto Gateway::distanceTo(const std::string& zoneName) const -> Distance
-{
-    if (zoneName == this->option.zone)
-        return Distance::SameZone;
-    const auto& zones = this->snapshot->active->config.zones;
-    const auto own = std::ranges::find(zones, this->option.zone, &Zone::name);
-    const auto other = std::ranges::find(zones, zoneName, &Zone::name);
-    const auto isNear = own != zones.end() && other != zones.end() && own->region == other->region;
-    return isNear ? Distance::SameRegion : Distance::OtherRegion;
-}
-
 auto Gateway::handle(HttpRequest& request, CallerContext& caller, boost::asio::yield_context yield) -> HttpResponse
 {
     const auto startedAt = this->clock.now();
@@ -334,10 +346,9 @@
     auto wish = this->wishOf(call);
     auto doubt = std::optional<ResultCode> {};
     for (auto attempt = 1U;; ++attempt) {
-        const auto weight = call.team == nullptr ? 1U : call.team->weight;
         const auto slot = call.isSpilled && attempt == 1
             ? admission.tryAcquire(this->option.reservedForLocal)
-            : admission.acquire({ call.teamIndex, weight, call.deadline, wish }, *call.caller, yield);
+            : admission.acquire(this->slotRequestOf(call, wish), *call.caller, yield);
         if (slot.target.empty())
             return doubt ? CallResult { *doubt, {}, {} } : this->refuseWithoutTarget(call, slot.refusal, yield);
         if (!this->isStillAuthorized(call)) {
@@ -366,6 +377,28 @@
     }
 }
 
+auto Gateway::slotRequestOf(const Call& call, const TargetWish& wish) const -> SlotRequest
+{
+    auto request = SlotRequest { call.teamIndex, 1, call.deadline, wish };
+    if (call.team != nullptr) {
+        request.weight = call.team->weight;
+        request.rank = call.team->priority * ranksPerTeamRank;
+    }
+    request.rank += call.route->priority;
+    const auto known = this->routeLatencies.find(call.route->name);
+    const auto latency = known == this->routeLatencies.end() ? Duration {} : known->second;
+    const auto objective = call.route->objective.count() > 0 ? call.route->objective : call.route->deadline;
+    request.usefulUntil = call.receivedAt + objective - latency;
+    return request;
+}
+
+auto Gateway::recordLatency(const Call& call, Duration latency) -> void
+{
+    const auto [known, isNew] = this->routeLatencies.try_emplace(call.route->name, latency);
+    if (!isNew)
+        known->second += std::chrono::duration_cast<Duration>((latency - known->second) * latencyWeight);
+}
+
 auto Gateway::refuseWithoutTarget(Call& call, ResultCode refusal, boost::asio::yield_context yield) -> CallResult
 {
     if (call.isSpilled || refusal == ResultCode::CallerGone || this->option.discoversTargets)
@@ -439,6 +472,8 @@
         this->client->closeIdle(*address);
     this->readLoad(admission, target, fields);
     admission.release(target, resultOf(code, exchange.response), this->clock.now() - startedAt);
+    if (code == ResultCode::Answered)
+        this->recordLatency(call, this->clock.now() - startedAt);
     if (code == ResultCode::Answered)
         this->dialect->cleanAnswer(exchange.response, call.request->method == "HEAD");
     return { code, std::move(exchange.response), busyRetryAfter };
@@ -503,6 +538,8 @@
         const auto fields = this->dialect->readRequest(request);
         LogEvent(LogLevel::Info, "request-failed")
             .with("request", fields.requestId)
+            .with("path", std::string_view { request.target }.substr(0, request.target.find('?')))
+            .with("object", fields.object)
             .with("result", info.name)
             .with("took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(took).count())
             .with("config", this->snapshot ? this->snapshot->active->version : 0);
--- a/src/citronloft/edge/pool_admission.cpp
+++ b/src/citronloft/edge/pool_admission.cpp
@@ -26,13 +26,15 @@
     const auto now = this->clock.now();
     if (!this->pool.isUsable(now))
         return { {}, ResultCode::NoTarget };
-    if (this->queue->size() == 0) {
+    // Requests that wait for other targets do not hold up one whose target is free.
+    if (this->queue->size() == 0 || request.wish.object) {
         if (const auto target = this->pool.acquireFor(request.wish, now))
             return { *target, ResultCode::Answered };
     }
     const auto id = this->nextId++;
-    const auto queued = QueuedRequest { id, request.team, request.weight, request.deadline };
-    const auto admission = this->queue->offer(queued, this->pool.serviceTime(), this->pool.totalSlots(now), now);
+    const auto queued
+        = QueuedRequest { id, request.team, request.weight, request.deadline, request.rank, request.usefulUntil };
+    const auto admission = this->queue->offer(queued, this->pool.serviceTime(), this->concurrency(now), now);
     if (admission != Admission::Queued)
         return { {}, refusalOf(admission) };
     auto waiter = std::make_shared<SlotWaiter>(SlotWaiter { Waiter<SlotDecision>(this->context), request.wish });
@@ -82,16 +84,35 @@
 auto PoolAdmission::dispatch() -> void
 {
     const auto now = this->clock.now();
-    while (this->queue->size() > 0 && this->pool.hasRoom(now)) {
-        const auto next = this->queue->next();
-        const auto waiter = next ? this->waiters.find(next->id) : this->waiters.end();
+    const auto tryStart = [this, now](const QueuedRequest& request) {
+        const auto waiter = this->waiters.find(request.id);
+        // Its coroutine has been woken already and removes what is left of it.
         if (waiter == this->waiters.end())
-            continue;
-        // The room that there is may be none for this request: then it is refused rather than put in its place again.
+            return true;
         const auto target = this->pool.acquireFor(waiter->second->wish, now);
-        waiter->second->decision.set(
-            target ? SlotDecision { *target, ResultCode::Answered } : SlotDecision { {}, ResultCode::NoTarget });
+        if (target)
+            waiter->second->decision.set({ *target, ResultCode::Answered });
+        return target.has_value();
+    };
+    while (this->queue->size() > 0 && this->pool.hasRoom(now)) {
+        auto dropped = std::optional<std::uint64_t> {};
+        const auto isTaken = this->queue->takeFirst([&](const QueuedRequest& request) {
+            const auto isStarted = tryStart(request);
+            dropped = isStarted ? std::nullopt : std::optional { request.id };
+            return isStarted;
+        });
+        if (!isTaken)
+            return;
+        // A queue that keeps its order gives a request up for which the room is none.
+        if (dropped)
+            this->waiters.at(*dropped)->decision.set({ {}, ResultCode::NoTarget });
     }
 }
 
+/// Requests of this host that run at the same time while others wait.
+auto PoolAdmission::concurrency(TimePoint now) const -> std::size_t
+{
+    return std::min<std::size_t>(this->pool.totalSlots(now), std::max<std::size_t>(this->pool.inFlight(), 1));
+}
+
 } // namespace citronloft
--- a/src/citronloft/policy/target_pool.cpp
+++ b/src/citronloft/policy/target_pool.cpp
@@ -1,7 +1,6 @@
 #include "citronloft/policy/target_pool.hpp"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 
 #include <xxhash.h>
@@ -76,6 +75,11 @@
 auto TargetPool::acquireFor(const TargetWish& wish, TimePoint now) -> std::optional<std::string>
 {
     auto* chosen = wish.object ? this->chooseByObject(wish, *wish.object, now) : this->chooseByTwo(wish, now);
+    if (chosen == nullptr && !wish.object && !wish.avoid.empty()) {
+        auto anywhere = wish;
+        anywhere.avoid.clear();
+        return this->acquireFor(anywhere, now);
+    }
     if (chosen == nullptr)
         return std::nullopt;
     return this->take(*chosen, now);
@@ -85,7 +89,7 @@
 {
     auto open = std::vector<Member*> {};
     for (auto& member : this->members) {
-        if (this->isOpen(member, wish, now))
+        if (member.inFlight < this->limitOf(member, now) && this->isOpen(member, wish, now))
             open.push_back(&member);
     }
     if (open.empty())
@@ -96,30 +100,29 @@
     return this->loadOf(*second, now) < this->loadOf(*first, now) ? second : first;
 }
 
-/// The first target in the object's order that has a free slot; without one, the least loaded whose queue is short.
+/// The first of the object's targets that has a free slot; without one, the least loaded whose queue is short.
 auto TargetPool::chooseByObject(const TargetWish& wish, std::uint64_t object, TimePoint now) -> Member*
 {
-    auto* best = static_cast<Member*>(nullptr);
-    auto bestScore = 0.0;
-    auto* leastLoaded = static_cast<Member*>(nullptr);
-    auto leastLoad = 1 + this->option.queueAtTarget;
+    auto& best = this->scored;
+    best.clear();
+    const auto byScore = [](const Scored& left, const Scored& right) { return left.score > right.score; };
     for (auto& member : this->members) {
         if (!this->isOpen(member, wish, now))
             continue;
-        const auto load = this->loadOf(member, now);
-        if (load < leastLoad) {
-            leastLoad = load;
-            leastLoaded = &member;
-        }
-        if (load >= 1)
+        const auto score = rendezvousScore(member.hash, object, member.live.weight);
+        if (best.size() == this->option.targetsPerObject && score <= best.back().score)
             continue;
-        const auto score = rendezvousScore(member.hash, object, this->weightOf(member));
-        if (best == nullptr || score > bestScore) {
-            best = &member;
-            bestScore = score;
-        }
+        const auto place = std::ranges::upper_bound(best, Scored { score, 0, nullptr }, byScore);
+        best.insert(place, { score, this->loadOf(member, now), &member });
+        if (best.size() > this->option.targetsPerObject)
+            best.pop_back();
     }
-    return best == nullptr ? leastLoaded : best;
+    const auto free = std::ranges::find_if(best, [](const Scored& item) { return item.load < 1; });
+    if (free != best.end())
+        return free->member;
+    const auto least = std::ranges::min_element(best, {}, &Scored::load);
+    const auto isShort = least != best.end() && least->load < 1 + this->option.queueAtTarget;
+    return isShort ? least->member : nullptr;
 }
 
 auto TargetPool::take(Member& member, TimePoint now) -> std::string
@@ -133,7 +136,7 @@
 auto TargetPool::isOpen(Member& member, const TargetWish& wish, TimePoint now) -> bool
 {
     this->endEjection(member, now);
-    if (!this->takesWork(member) || member.inFlight >= this->limitOf(member, now))
+    if (!this->takesWork(member))
         return false;
     if (std::ranges::find(wish.avoid, member.key) != wish.avoid.end())
         return false;
@@ -252,6 +255,14 @@
     return sum;
 }
 
+auto TargetPool::inFlight() const -> std::size_t
+{
+    auto sum = std::size_t { 0 };
+    for (const auto& member : this->members)
+        sum += member.inFlight;
+    return sum;
+}
+
 auto TargetPool::hasRoom(TimePoint now) const -> bool
 {
     return std::ranges::any_of(this->members, [&](const Member& member) {
@@ -368,11 +379,4 @@
     return load / static_cast<double>(member.live.target.slots);
 }
 
-auto TargetPool::weightOf(const Member& member) const -> double
-{
-    const auto byDistance
-        = std::array { this->option.zoneWeight, this->option.regionWeight, this->option.remoteWeight };
-    return member.live.target.slots * byDistance.at(static_cast<std::size_t>(member.live.distance));
-}
-
 } // namespace citronloft
