Hosts of a zone tell each other what they have in flight

Cause: a host hears of a target's load with its own answers alone, about twice a second, so 25 hosts filled targets' queues to their end. Ruled out: lower limits a host (a target has fewer slots than there are hosts).

--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -69,6 +69,9 @@
     /// @brief Sets how many hosts share retries and cold targets, and how retries are limited on each of them.
     auto setRetryOption(RetryOption option) -> void;
 
+    /// @brief Takes in what another host of the zone has in flight at the targets.
+    auto notePeerLoads(std::uint64_t sender, const std::vector<TargetLoad>& loads) -> void;
+
     /// @brief Sets how this host's part of a cold target's rate is found.
     auto setColdPart(TargetPool::ColdPart part) -> void;
 
@@ -106,6 +109,7 @@
     auto handleCaller(Call& call, boost::asio::yield_context yield) -> CallResult;
     auto handleSpilled(Call& call, boost::asio::yield_context yield) -> CallResult;
     auto authorize(Call& call) const -> ResultCode;
+    auto shareLoads(TimePoint now) -> void;
     auto findPool(Call& call) -> void;
     auto applyTargets(const Pool& pool) -> void;
     [[nodiscard]] auto liveTargetsOf(const Pool& pool) const -> std::vector<LiveTarget>;
@@ -138,6 +142,8 @@
     pcg32 random;
     /// Smoothed time from sending a request to its answer, by route.
     std::map<std::string, Duration> routeLatencies;
+    std::vector<TargetLoad> sharedLoads;
+    TimePoint nextShareAt {};
     std::shared_ptr<HttpClient> client;
     TargetProber prober;
     SpillRouter spillRouter;
--- a/include/citronloft/fleet/fleet_host.hpp
+++ b/include/citronloft/fleet/fleet_host.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -74,6 +75,15 @@
     [[nodiscard]] auto shares() const -> const ShareHolder& { return *this->holder; }
     [[nodiscard]] auto steward() const -> const ZoneSteward& { return *this->zoneSteward; }
 
+    /// @brief Tells the zone's hosts what this host has in flight at the targets.
+    auto shareLoads(std::vector<TargetLoad> loads) -> void;
+
+    /// @brief Sets what takes in other hosts' loads.
+    auto onLoads(std::function<void(std::uint64_t sender, const std::vector<TargetLoad>&)> take) -> void
+    {
+        this->takeLoads = std::move(take);
+    }
+
     /// @return part of the zone's slots that this host holds, from 0 to 1.
     [[nodiscard]] auto zonePart() const -> double;
 
@@ -94,6 +104,10 @@
     std::shared_ptr<ConfigFollower> follower;
     std::shared_ptr<ClaimRegistry> claimRegistry;
     ConfigFollower::InForce inForce;
+    std::function<void(std::uint64_t, const std::vector<TargetLoad>&)> takeLoads;
+    std::uint64_t loadSequence = 0;
+    /// Newest notice of each sender.
+    std::map<std::uint64_t, std::uint64_t> newestLoads;
     TimePoint handOverUntil = TimePoint::max();
 };
 
--- a/include/citronloft/fleet/messages.hpp
+++ b/include/citronloft/fleet/messages.hpp
@@ -12,6 +12,7 @@
 #include "citronloft/base/config_records.hpp"
 #include "citronloft/policy/host_lifecycle.hpp"
 #include "citronloft/policy/shares.hpp"
+#include "citronloft/policy/target_load.hpp"
 
 namespace citronloft {
 
@@ -225,8 +226,22 @@
     }
 };
 
+/// @brief What one host has in flight at the targets, whole each time; a target without an entry has nothing of it.
+struct LoadNotice {
+    std::uint64_t sender = 0;
+    /// Raised with every notice of a sender, so that a late one is dropped.
+    std::uint64_t sequence = 0;
+    std::vector<TargetLoad> loads;
+
+    template <typename Archive> auto serialize(Archive& archive) -> void
+    {
+        archive(this->sender, this->sequence, this->loads);
+    }
+};
+
 /// @brief Any message between hosts.
-using PeerMessage = std::variant<GossipMessage, RenewRequest, RenewGrant, LoanAsk, LoanGrant, ConfigNotice>;
+using PeerMessage
+    = std::variant<GossipMessage, RenewRequest, RenewGrant, LoanAsk, LoanGrant, ConfigNotice, LoadNotice>;
 
 /// @brief Sends messages to other hosts; they may be lost, doubled, reordered or late.
 class PeerTransport {
--- a/include/citronloft/policy/target_pool.hpp
+++ b/include/citronloft/policy/target_pool.hpp
@@ -15,6 +15,7 @@
 #include "citronloft/base/config.hpp"
 #include "citronloft/policy/live_target.hpp"
 #include "citronloft/policy/target_health.hpp"
+#include "citronloft/policy/target_load.hpp"
 
 namespace citronloft {
 
@@ -30,7 +31,9 @@
     Duration rampTime = std::chrono::seconds { 5 };
     /// Requests beyond a target's even part that one host may have in flight there.
     double overcommit = 1.5;
-    /// Reports older than this are ignored.
+    /// Notices of hosts that are older than this are ignored.
+    Duration noticeMaxAge = std::chrono::seconds { 1 };
+    /// Reports lose their weight up to this age.
     Duration reportMaxAge = std::chrono::seconds { 3 };
     /// A target that shed lately is not believed to be idle.
     Duration distrustAfterShed = std::chrono::seconds { 2 };
@@ -76,6 +79,13 @@
     std::vector<std::string> regions;
 };
 
+/// @brief What one host has in flight, as it told this one.
+struct PeerLoad {
+    std::uint64_t sender = 0;
+    std::uint32_t inFlight = 0;
+    TimePoint heardAt;
+};
+
 /// @brief A target as status pages show it.
 struct TargetView {
     std::string address;
@@ -124,6 +134,12 @@
     /// @brief Takes in the result of a probe.
     auto probed(const std::string& key, bool ok, TimePoint now) -> void;
 
+    /// @return what this host has in flight at each target and what the targets reported since the last call.
+    auto takeLoads() -> std::vector<TargetLoad>;
+
+    /// @brief Takes in a host's notice; targets of other pools are skipped.
+    auto notePeer(std::uint64_t sender, const std::vector<TargetLoad>& loads, TimePoint now) -> void;
+
     /// @return the target of a key, or null if it has left the pool.
     [[nodiscard]] auto target(const std::string& key) const -> const LiveTarget*;
 
@@ -166,9 +182,12 @@
         TimePoint ejectedUntil {};
         TimePoint shedAt {};
         TimePoint reportedAt {};
-        std::uint32_t reportedInFlight = 0;
-        /// Requests of other hosts at the last report.
-        std::uint32_t othersInFlight = 0;
+        /// Requests of the zone's other hosts, by their notices.
+        std::vector<PeerLoad> peers;
+        /// Smoothed number of requests of hosts that send no notices, by the target's reports.
+        double outside = 0;
+        /// A report has come since the last notice of this host.
+        bool hasReport = false;
         bool reportedDraining = false;
         bool isMisdirected = false;
         /// Tokens of the cold rate.
@@ -189,6 +208,8 @@
     auto take(Member& member, TimePoint now) -> std::string;
     auto refillCold(Member& member, TimePoint now) -> void;
     auto isOpen(Member& member, const TargetWish& wish, TimePoint now) -> bool;
+    [[nodiscard]] auto peersInFlight(const Member& member, TimePoint now) const -> std::uint32_t;
+    auto updateOutside(Member& member, double outside, TimePoint now) -> void;
     auto updateDrain(Member& member) -> void;
     auto recordFailure(Member& member, unsigned weight, TimePoint now) -> void;
     auto recordAnswer(Member& member, TimePoint now) -> void;
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -152,6 +152,9 @@
 {
     if (!this->usesAdapter())
         return;
+    this->fleet->onLoads([this](std::uint64_t sender, const std::vector<TargetLoad>& loads) {
+        this->gateway->notePeerLoads(sender, loads);
+    });
     this->gateway->setColdPart([this](const LiveTarget& target) { return this->coldPartOf(target); });
     auto listener = DiscoveryListener {};
     listener.onConfig
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -21,6 +21,9 @@
 constexpr auto leastTargetWeight = 1e-6;
 /// Weight of the newest answer in a route's smoothed latency.
 constexpr auto latencyWeight = 0.1;
+/// A tenth of the time that a warm request runs, so that the zone's hosts see each other's requests while they run.
+constexpr auto loadShareInterval = std::chrono::milliseconds { 40 };
+constexpr auto loadRepeatInterval = std::chrono::milliseconds { 400 };
 /// Ranks of routes within one rank of teams.
 constexpr auto ranksPerTeamRank = 1000U;
 
@@ -518,6 +521,34 @@
         headroom.push_back({ static_cast<std::uint32_t>(bucketId(name)), static_cast<std::uint16_t>(room) });
     }
     this->fleet.membership().setHeadroom(std::move(headroom));
+    if (this->option.discoversTargets)
+        this->shareLoads(now);
+}
+
+auto Gateway::notePeerLoads(std::uint64_t sender, const std::vector<TargetLoad>& loads) -> void
+{
+    const auto now = this->clock.now();
+    for (auto& [name, admission] : this->admissions)
+        admission->targets().notePeer(sender, loads, now);
+}
+
+/// An unchanged load is repeated often enough for the others to keep it in mind.
+auto Gateway::shareLoads(TimePoint now) -> void
+{
+    if (now < this->nextShareAt)
+        return;
+    auto loads = std::vector<TargetLoad> {};
+    for (auto& [name, admission] : this->admissions) {
+        const auto own = admission->targets().takeLoads();
+        loads.insert(loads.end(), own.begin(), own.end());
+    }
+    const auto isChanged = loads != this->sharedLoads;
+    const auto isDue = !loads.empty() && now >= this->nextShareAt + loadRepeatInterval;
+    if (!isChanged && !isDue)
+        return;
+    this->nextShareAt = now + loadShareInterval;
+    this->sharedLoads = loads;
+    this->fleet.shareLoads(std::move(loads));
 }
 
 auto Gateway::probeTargets(boost::asio::yield_context yield) -> void
--- a/src/citronloft/fleet/fleet_host.cpp
+++ b/src/citronloft/fleet/fleet_host.cpp
@@ -107,9 +107,21 @@
         this->limiter.receive(*loan, now);
     } else if (const auto* notice = std::get_if<ConfigNotice>(&message)) {
         this->follower->receive(*notice, from, now);
+    } else if (const auto* loads = std::get_if<LoadNotice>(&message)) {
+        auto& newest = this->newestLoads[loads->sender];
+        if (loads->sequence > newest && this->takeLoads)
+            this->takeLoads(loads->sender, loads->loads);
+        newest = std::max(newest, loads->sequence);
     }
 }
 
+auto FleetHost::shareLoads(std::vector<TargetLoad> loads) -> void
+{
+    const auto notice = LoadNotice { this->members.self().incarnation, ++this->loadSequence, std::move(loads) };
+    for (const auto& peer : this->members.zonePeers())
+        this->surroundings.transport.send(peer.peerAddress(), notice);
+}
+
 auto FleetHost::leave() -> void
 {
     this->handOverUntil = this->surroundings.clock.now() + greatestHandOverTime;
