--- a/include/citronloft/fleet/fleet_host.hpp
+++ b/include/citronloft/fleet/fleet_host.hpp
@@ -10,6 +10,7 @@
 #include "citronloft/fleet/claim_registry.hpp"
 #include "citronloft/fleet/config_follower.hpp"
 #include "citronloft/fleet/even_shares.hpp"
+#include "citronloft/fleet/host_registry.hpp"
 #include "citronloft/fleet/membership.hpp"
 #include "citronloft/fleet/rate_limiter.hpp"
 #include "citronloft/fleet/share_holder.hpp"
@@ -75,6 +76,9 @@
     [[nodiscard]] auto shares() const -> const ShareHolder& { return *this->holder; }
     [[nodiscard]] auto steward() const -> const ZoneSteward& { return *this->zoneSteward; }
 
+    /// @brief Takes in the hosts that have registered: they are greeted, and those of this zone hold parts of its rates.
+    auto noteRegistered(const std::vector<RegisteredHost>& hosts) -> void;
+
     /// @brief Tells the zone's hosts what this host has in flight at the targets.
     auto shareLoads(std::vector<TargetLoad> loads) -> void;
 
@@ -96,6 +100,7 @@
     FleetHostOption option;
     FleetSurroundings surroundings;
     EvenShares evenShares;
+    std::size_t knownSlots = 0;
     Membership members;
     std::unique_ptr<LenderList> lenders;
     std::shared_ptr<ShareHolder> holder;
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -165,6 +165,9 @@
             LogEvent(LogLevel::Info, "zone-evacuated").with("zone", zone);
         this->gateway->setEvacuatedZones(std::move(zones));
     };
+    this->registry = std::make_shared<HostRegistry>(RegisteredHost { this->settings.zone, this->settings.ip },
+        this->clock, this->platform.store, randomId(),
+        [this](const auto& hosts) { this->fleet->noteRegistered(hosts); });
     this->discovery = std::make_unique<Discovery>(
         this->clock, this->metrics, this->platform.feed, this->platform.decoder, randomId(), std::move(listener));
 }
@@ -277,6 +280,7 @@
     if (this->discovery) {
         const auto now = this->clock.now();
         this->discovery->tick(now);
+        this->registry->tick(now);
         this->shareRetries(now);
         const auto isKnown = this->discovery->isReady() && this->fleet->config().active() != nullptr;
         if (this->lifecycle->state() == HostState::Joining && isKnown)
--- a/programs/citronloftd/host.hpp
+++ b/programs/citronloftd/host.hpp
@@ -70,6 +70,7 @@
     std::unique_ptr<HostLifecycle> lifecycle;
     Platform platform;
     std::unique_ptr<Discovery> discovery;
+    std::shared_ptr<HostRegistry> registry;
     std::shared_ptr<UdpTransport> transport;
     std::unique_ptr<FleetHost> fleet;
     std::unique_ptr<Gateway> gateway;
--- a/src/citronloft/fleet/fleet_host.cpp
+++ b/src/citronloft/fleet/fleet_host.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "citronloft/base/log.hpp"
 #include "citronloft/fleet/slot_map.hpp"
 
 namespace citronloft {
@@ -85,7 +86,14 @@
         return this->holder->usable(now);
     for (const auto& peer : this->members.zonePeers())
         this->evenShares.note(peer.ip, now);
-    return this->evenShares.usable(now);
+    auto slots = this->evenShares.usable(now);
+    if (countSlots(slots) != this->knownSlots) {
+        this->knownSlots = countSlots(slots);
+        LogEvent(LogLevel::Info, "shares-changed")
+            .with("slots", this->knownSlots)
+            .with("zone_hosts", this->members.zonePeers().size() + 1);
+    }
+    return slots;
 }
 
 auto FleetHost::receive(const Address& from, const PeerMessage& message) -> void
@@ -115,6 +123,22 @@
     }
 }
 
+auto FleetHost::noteRegistered(const std::vector<RegisteredHost>& hosts) -> void
+{
+    const auto now = this->surroundings.clock.now();
+    const auto& self = this->members.self();
+    // The newest seeds are kept, so this zone's hosts come last.
+    for (const auto isOwnZone : { false, true }) {
+        for (const auto& host : hosts) {
+            if (host.ip == self.ip || (host.zone == self.zone) != isOwnZone)
+                continue;
+            if (isOwnZone)
+                this->evenShares.note(host.ip, now);
+            this->members.addSeed({ host.ip, self.peerPort });
+        }
+    }
+}
+
 auto FleetHost::shareLoads(std::vector<TargetLoad> loads) -> void
 {
     const auto notice = LoadNotice { this->members.self().incarnation, ++this->loadSequence, std::move(loads) };
