--- a/include/citronloft/base/host_settings.hpp
+++ b/include/citronloft/base/host_settings.hpp
@@ -39,6 +39,10 @@
     /// platform.
     double retryRatio = 0.1;
     double retrySlack = 20;
+    /// What may be admitted beyond a team's rate and burst in any window: a part of it, and a number of requests.
+    double rateOverage = 0;
+    double rateSlack = 0;
+    std::chrono::milliseconds rateWindow { 5000 };
     /// Part of a region's requests that may move to another region within two seconds.
     double shiftPart = 0.15;
     /// Shared by all hosts of the fleet, at least 16 characters.
--- a/include/citronloft/fleet/fleet_host.hpp
+++ b/include/citronloft/fleet/fleet_host.hpp
@@ -9,7 +9,6 @@
 
 #include "citronloft/fleet/claim_registry.hpp"
 #include "citronloft/fleet/config_follower.hpp"
-#include "citronloft/fleet/even_shares.hpp"
 #include "citronloft/fleet/host_registry.hpp"
 #include "citronloft/fleet/membership.hpp"
 #include "citronloft/fleet/rate_limiter.hpp"
@@ -22,8 +21,21 @@
 enum class ShareStrategy : std::uint8_t {
     /// A steward in each zone gives slots out by lease: the bound holds whatever hosts know of each other.
     Leased,
-    /// Every host computes its even part; no message and no store is needed, also right after all hosts restarted.
-    Even,
+    /// Every host takes the part that its demand is of the fleet's, as hosts tell each other; no store is needed, also
+    /// right after all hosts restarted.
+    Demand,
+};
+
+/// @brief What may be admitted beyond a team's rate and burst, as the operators of the targets bear it.
+struct RateTolerance {
+    /// Part of rate x window + burst.
+    double overage = 0;
+    /// Requests in any window.
+    double slack = 0;
+    Duration window = std::chrono::seconds { 5 };
+
+    /// @return requests that the bucket of a team may hold beyond its burst.
+    [[nodiscard]] auto extraBurst(double rate, double burst) const -> double;
 };
 
 /// @brief Options of a host's fleet components.
@@ -36,6 +48,7 @@
     MembershipOption membership;
     LeaseTerms lease;
     RateLimiterOption rates;
+    RateTolerance tolerance;
 };
 
 /// @brief What a host needs from its surroundings; all outlive it.
@@ -94,13 +107,14 @@
 private:
     class LenderList;
 
-    [[nodiscard]] auto usableSlots(TimePoint now) -> std::vector<SlotRange>;
+    auto updateSlots(TimePoint now) -> void;
+    auto shareDemands(TimePoint now) -> void;
+    [[nodiscard]] auto isNewest(std::uint64_t sender, std::uint64_t sequence) -> bool;
     auto putInForce(const std::shared_ptr<const ActiveConfig>& active) -> void;
 
     FleetHostOption option;
     FleetSurroundings surroundings;
-    EvenShares evenShares;
-    std::size_t knownSlots = 0;
+    DemandShares demandShares;
     Membership members;
     std::unique_ptr<LenderList> lenders;
     std::shared_ptr<ShareHolder> holder;
@@ -110,9 +124,10 @@
     std::shared_ptr<ClaimRegistry> claimRegistry;
     ConfigFollower::InForce inForce;
     std::function<void(std::uint64_t, const std::vector<TargetLoad>&)> takeLoads;
-    std::uint64_t loadSequence = 0;
+    std::uint64_t noticeSequence = 0;
     /// Newest notice of each sender.
-    std::map<std::uint64_t, std::uint64_t> newestLoads;
+    std::map<std::uint64_t, std::uint64_t> newestNotices;
+    TimePoint nextDemandsAt {};
     TimePoint handOverUntil = TimePoint::max();
 };
 
@@ -123,6 +138,7 @@
 auto shiftBucketName(const std::string& from, const std::string& to, bool bytes) -> std::string;
 
 /// @return the buckets of a configuration, as zone `zone` divides them.
-auto bucketsOf(const Config& config, const std::string& zone) -> std::vector<BucketSpec>;
+auto bucketsOf(const Config& config, const std::string& zone, const RateTolerance& tolerance = {})
+    -> std::vector<BucketSpec>;
 
 } // namespace citronloft
--- a/include/citronloft/fleet/messages.hpp
+++ b/include/citronloft/fleet/messages.hpp
@@ -10,6 +10,7 @@
 
 #include "citronloft/base/address.hpp"
 #include "citronloft/base/config_records.hpp"
+#include "citronloft/policy/demand_shares.hpp"
 #include "citronloft/policy/host_lifecycle.hpp"
 #include "citronloft/policy/shares.hpp"
 #include "citronloft/policy/target_load.hpp"
@@ -239,9 +240,21 @@
     }
 };
 
+/// @brief The demand that one host sees for all buckets.
+struct DemandNotice {
+    std::uint64_t sender = 0;
+    std::uint64_t sequence = 0;
+    std::vector<BucketDemand> demands;
+
+    template <typename Archive> auto serialize(Archive& archive) -> void
+    {
+        archive(this->sender, this->sequence, this->demands);
+    }
+};
+
 /// @brief Any message between hosts.
-using PeerMessage
-    = std::variant<GossipMessage, RenewRequest, RenewGrant, LoanAsk, LoanGrant, ConfigNotice, LoadNotice>;
+using PeerMessage = std::variant<GossipMessage, RenewRequest, RenewGrant, LoanAsk, LoanGrant, ConfigNotice, LoadNotice,
+    DemandNotice>;
 
 /// @brief Sends messages to other hosts; they may be lost, doubled, reordered or late.
 class PeerTransport {
--- a/include/citronloft/fleet/rate_limiter.hpp
+++ b/include/citronloft/fleet/rate_limiter.hpp
@@ -13,6 +13,7 @@
 #include "citronloft/fleet/lease_terms.hpp"
 #include "citronloft/fleet/messages.hpp"
 #include "citronloft/fleet/peer_directory.hpp"
+#include "citronloft/policy/demand_shares.hpp"
 #include "citronloft/policy/escrow_bucket.hpp"
 
 namespace citronloft {
@@ -35,6 +36,8 @@
     Duration emptyInterval = std::chrono::milliseconds { 100 };
     std::size_t fanout = 8;
     std::size_t greatestWaiting = 256;
+    /// True: parts are set by setParts(), and a bucket that changes keeps its part.
+    bool dividesByDemand = false;
 };
 
 /// @brief Answer to an acquisition.
@@ -71,6 +74,14 @@
     /// @brief Sets the slots that may be used from now on.
     auto setSlots(std::vector<SlotRange> slots, TimePoint now) -> void;
 
+    /// @brief Sets this host's part of each bucket by the demand that hosts see, instead of by slots.
+    /// @param partOf gives the part for a bucket, its rate per second and this host's demand per second.
+    auto setParts(const std::function<double(std::uint64_t bucket, double rate, double own)>& partOf, TimePoint now)
+        -> void;
+
+    /// @return this host's demand for the buckets that are in use.
+    [[nodiscard]] auto demands() const -> std::vector<BucketDemand>;
+
     /// @brief Takes one token, or waits for loans until `deadline` at most.
     /// @param done called once, perhaps before acquire() returns.
     /// @return id for cancel(); 0 if `done` has been called already.
@@ -116,6 +127,9 @@
         /// Micro-tokens per second, smoothed.
         double demand = 0;
         std::int64_t demandSinceTick = 0;
+        /// Micro-tokens per second, smoothed over a longer time, for the division among hosts.
+        double steadyDemand = 0;
+        double part = 0;
         std::deque<Waiting> waiting;
         /// Lenders of the present sweep that have not been asked yet.
         std::vector<Lender> unasked;
--- a/include/citronloft/policy/target_pool.hpp
+++ b/include/citronloft/policy/target_pool.hpp
@@ -44,6 +44,9 @@
     /// Targets that an object's requests are sent to, the first with a free slot each time. Few keep the object warm
     /// there; a request that would go further runs several times as long and takes the room of others.
     std::size_t targetsPerObject = 3;
+    /// Load in slots from which an object's next target is preferred. Above 1, since a short wait for a target that
+    /// holds the object costs less than a run on one that does not.
+    double passOverLoad = 1;
     /// Requests waiting at a target, as a part of its slots, up to which more are sent there when no slot is free.
     double queueAtTarget = 0.35;
 };
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -30,6 +30,8 @@
 constexpr auto coldReserve = 0.8;
 /// Hosts that feed a cold target. Each may send one request at once, so few hosts keep the sum near the rate.
 constexpr auto coldFeeders = std::size_t { 3 };
+/// A loan comes within a round trip between regions, or not at all.
+constexpr auto rateWait = std::chrono::milliseconds { 120 };
 constexpr auto retryShareInterval = std::chrono::seconds { 1 };
 /// Twice the longest round trip between two regions that a deployment names, 110 ms, and some time for a busy target.
 constexpr auto targetConnectTimeout = std::chrono::milliseconds { 400 };
@@ -119,7 +121,11 @@
     option.rates.strategy = lendingOf(this->settings.lending);
     if (!this->usesAdapter())
         return option;
-    option.shares = ShareStrategy::Even;
+    option.shares = ShareStrategy::Demand;
+    option.rates.dividesByDemand = true;
+    option.rates.greatestWait = rateWait;
+    option.tolerance
+        = { this->settings.rateOverage, this->settings.rateSlack, Duration { this->settings.rateWindow } };
     option.isConfigOffered = true;
     option.membership.hostsPerSummary = hostsPerSummary;
     return option;
@@ -145,6 +151,8 @@
     option.targets.overcommit = 1;
     option.targets.shedBackoff = 1;
     option.targets.distrustAfterShed = shedPause;
+    option.targets.passOverLoad = 1.5;
+    option.targets.queueAtTarget = 0.8;
     return option;
 }
 
--- a/src/citronloft/base/host_settings.cpp
+++ b/src/citronloft/base/host_settings.cpp
@@ -145,6 +145,9 @@
     readSeconds(reader, "stop_time_s", settings.stopTime);
     readPart(reader, "retry_ratio", settings.retryRatio, 10);
     readPart(reader, "retry_slack", settings.retrySlack, 1e6);
+    readPart(reader, "rate_overage", settings.rateOverage, 10);
+    readPart(reader, "rate_slack", settings.rateSlack, 1e6);
+    readSeconds(reader, "rate_window_s", settings.rateWindow);
     readPart(reader, "shift_part", settings.shiftPart, 1);
     reader.required("fleet_secret", settings.fleetSecret);
     readSeeds(reader, settings.seeds);
--- a/src/citronloft/fleet/fleet_host.cpp
+++ b/src/citronloft/fleet/fleet_host.cpp
@@ -1,8 +1,8 @@
 #include "citronloft/fleet/fleet_host.hpp"
 
 #include <algorithm>
+#include <utility>
 
-#include "citronloft/base/log.hpp"
 #include "citronloft/fleet/slot_map.hpp"
 
 namespace citronloft {
@@ -14,6 +14,11 @@
 /// Time for a leaving host to give its slots and its role away; without a steward or a store nobody takes them.
 constexpr auto greatestHandOverTime = std::chrono::seconds { 8 };
 constexpr auto linkBurstSeconds = 1.0;
+/// Time for which a host's demand may be unknown to the others: what is admitted twice meanwhile must fit into the
+/// tolerance.
+constexpr auto demandInterval = std::chrono::milliseconds { 300 };
+/// Part of the tolerance that buckets use; the rest covers requests that wait between admission and run.
+constexpr auto toleranceUsed = 0.5;
 
 } // namespace
 
@@ -43,7 +48,7 @@
     ConfigFollower::InForce inForce)
     : option(option)
     , surroundings(surroundings)
-    , evenShares({}, self.ip, surroundings.clock.now())
+    , demandShares({}, self.ip)
     , members(option.membership, self, surroundings.transport, seed)
     , lenders(std::make_unique<LenderList>(members))
     , holder(std::make_shared<ShareHolder>(
@@ -76,24 +81,37 @@
         this->holder->tick(now);
     }
     this->follower->tick(now);
-    this->limiter.setSlots(this->usableSlots(now), now);
+    this->updateSlots(now);
     this->limiter.tick(now);
+    if (this->option.shares == ShareStrategy::Demand)
+        this->shareDemands(now);
 }
 
-auto FleetHost::usableSlots(TimePoint now) -> std::vector<SlotRange>
+auto FleetHost::updateSlots(TimePoint now) -> void
 {
     if (this->option.shares == ShareStrategy::Leased)
-        return this->holder->usable(now);
-    for (const auto& peer : this->members.zonePeers())
-        this->evenShares.note(peer.ip, now);
-    auto slots = this->evenShares.usable(now);
-    if (countSlots(slots) != this->knownSlots) {
-        this->knownSlots = countSlots(slots);
-        LogEvent(LogLevel::Info, "shares-changed")
-            .with("slots", this->knownSlots)
-            .with("zone_hosts", this->members.zonePeers().size() + 1);
+        this->limiter.setSlots(this->holder->usable(now), now);
+}
+
+auto FleetHost::shareDemands(TimePoint now) -> void
+{
+    if (now < this->nextDemandsAt)
+        return;
+    this->nextDemandsAt = now + demandInterval;
+    this->demandShares.forgetSilent(now);
+    const auto notice
+        = DemandNotice { this->members.self().incarnation, ++this->noticeSequence, this->limiter.demands() };
+    for (const auto* hosts : { &this->members.zonePeers(), &this->members.remoteHosts() }) {
+        for (const auto& host : *hosts) {
+            this->demandShares.noteHost(host.ip, now);
+            this->surroundings.transport.send(host.peerAddress(), notice);
+        }
     }
-    return slots;
+    this->limiter.setParts(
+        [this](std::uint64_t bucket, double rate, double own) {
+            return this->demandShares.partOf(bucket, rate, own);
+        },
+        now);
 }
 
 auto FleetHost::receive(const Address& from, const PeerMessage& message) -> void
@@ -106,23 +124,30 @@
         this->zoneSteward->receive(*request, from, now);
     } else if (const auto* grant = std::get_if<RenewGrant>(&message)) {
         this->holder->receive(*grant, from, now);
-        this->limiter.setSlots(this->usableSlots(now), now);
+        this->updateSlots(now);
     } else if (const auto* ask = std::get_if<LoanAsk>(&message)) {
         // A paused host may run this before its next tick; what it lends must still be its own.
-        this->limiter.setSlots(this->usableSlots(now), now);
+        this->updateSlots(now);
         this->limiter.receive(*ask, from, now);
     } else if (const auto* loan = std::get_if<LoanGrant>(&message)) {
         this->limiter.receive(*loan, now);
     } else if (const auto* notice = std::get_if<ConfigNotice>(&message)) {
         this->follower->receive(*notice, from, now);
     } else if (const auto* loads = std::get_if<LoadNotice>(&message)) {
-        auto& newest = this->newestLoads[loads->sender];
-        if (loads->sequence > newest && this->takeLoads)
+        if (this->isNewest(loads->sender, loads->sequence) && this->takeLoads)
             this->takeLoads(loads->sender, loads->loads);
-        newest = std::max(newest, loads->sequence);
+    } else if (const auto* demand = std::get_if<DemandNotice>(&message)) {
+        if (this->isNewest(demand->sender, demand->sequence))
+            this->demandShares.noteDemands(from.ip, demand->demands, now);
     }
 }
 
+auto FleetHost::isNewest(std::uint64_t sender, std::uint64_t sequence) -> bool
+{
+    auto& newest = this->newestNotices[sender];
+    return std::exchange(newest, std::max(newest, sequence)) < sequence;
+}
+
 auto FleetHost::noteRegistered(const std::vector<RegisteredHost>& hosts) -> void
 {
     const auto now = this->surroundings.clock.now();
@@ -132,8 +157,7 @@
         for (const auto& host : hosts) {
             if (host.ip == self.ip || (host.zone == self.zone) != isOwnZone)
                 continue;
-            if (isOwnZone)
-                this->evenShares.note(host.ip, now);
+            this->demandShares.noteHost(host.ip, now);
             this->members.addSeed({ host.ip, self.peerPort });
         }
     }
@@ -141,7 +165,7 @@
 
 auto FleetHost::shareLoads(std::vector<TargetLoad> loads) -> void
 {
-    const auto notice = LoadNotice { this->members.self().incarnation, ++this->loadSequence, std::move(loads) };
+    const auto notice = LoadNotice { this->members.self().incarnation, ++this->noticeSequence, std::move(loads) };
     for (const auto& peer : this->members.zonePeers())
         this->surroundings.transport.send(peer.peerAddress(), notice);
 }
@@ -156,7 +180,7 @@
 
 auto FleetHost::hasHandedOver() const -> bool
 {
-    if (this->option.shares == ShareStrategy::Even)
+    if (this->option.shares == ShareStrategy::Demand)
         return true;
     const auto isOver = this->surroundings.clock.now() >= this->handOverUntil;
     return isOver || (this->holder->hasHandedOver() && this->zoneSteward->heldEpoch() == 0);
@@ -171,7 +195,7 @@
 auto FleetHost::putInForce(const std::shared_ptr<const ActiveConfig>& active) -> void
 {
     const auto now = this->surroundings.clock.now();
-    this->limiter.setBuckets(bucketsOf(active->config, this->members.self().zone), now);
+    this->limiter.setBuckets(bucketsOf(active->config, this->members.self().zone, this->option.tolerance), now);
     this->inForce(active);
 }
 
@@ -182,7 +206,14 @@
     return (bytes ? "link/" : "shift/") + from + "/" + to;
 }
 
-auto bucketsOf(const Config& config, const std::string& zone) -> std::vector<BucketSpec>
+auto RateTolerance::extraBurst(double rate, double burst) const -> double
+{
+    const auto allowed = (rate * std::chrono::duration<double>(this->window).count() + burst) * this->overage;
+    return (allowed + this->slack) * toleranceUsed;
+}
+
+auto bucketsOf(const Config& config, const std::string& zone, const RateTolerance& tolerance)
+    -> std::vector<BucketSpec>
 {
     auto specs = std::vector<BucketSpec> {};
     auto parts = std::vector<std::uint32_t> {};
@@ -191,7 +222,8 @@
     const auto place = std::ranges::find(config.zones, zone, &Zone::name);
     const auto index = static_cast<std::size_t>(place - config.zones.begin());
     for (const auto& team : config.teams)
-        specs.push_back(makeBucketSpec(teamBucketName(team.name), team.rate, team.burst, parts, index));
+        specs.push_back(makeBucketSpec(teamBucketName(team.name), team.rate,
+            team.burst + tolerance.extraBurst(team.rate, team.burst), parts, index));
     const auto region = place == config.zones.end() ? std::string {} : place->region;
     for (const auto& shift : config.shifts) {
         // Only the zones of the sending region hold a part of what may leave it.
--- a/src/citronloft/fleet/rate_limiter.cpp
+++ b/src/citronloft/fleet/rate_limiter.cpp
@@ -16,6 +16,18 @@
 constexpr auto leastRetryAfter = std::chrono::milliseconds { 100 };
 constexpr auto greatestRetryAfter = std::chrono::seconds { 10 };
 
+/// Long enough to see through the gaps between a small tenant's requests, short enough to follow a move of callers.
+constexpr auto steadyTimeConstant = std::chrono::milliseconds { 1500 };
+
+auto toTokens(double microTokens) -> double { return microTokens / static_cast<double>(microTokensPerToken); }
+
+/// @param part from 0 to 1.
+auto partOfBucket(const BucketSpec& spec, double part) -> BucketShare
+{
+    return { static_cast<std::int64_t>(static_cast<double>(spec.whole.microTokensPerSecond) * part),
+        static_cast<std::int64_t>(static_cast<double>(spec.whole.capMicroTokens) * part) };
+}
+
 auto seconds(Duration duration) -> double { return std::chrono::duration<double>(duration).count(); }
 
 } // namespace
@@ -38,7 +50,10 @@
         auto bucket = old == this->buckets.end() ? std::make_unique<Bucket>(now) : std::move(old->second);
         if (bucket->spec != spec) {
             bucket->spec = spec;
-            bucket->escrow.setShare(shareOfSlots(spec, this->slots), now);
+            if (this->option.dividesByDemand)
+                bucket->escrow.setShare(partOfBucket(spec, bucket->part), now);
+            else
+                bucket->escrow.setShare(shareOfSlots(spec, this->slots), now);
         }
         kept.insert_or_assign(spec.id, std::move(bucket));
     }
@@ -65,6 +80,24 @@
         bucket->escrow.setShare(shareOfSlots(bucket->spec, this->slots), now);
 }
 
+auto RateLimiter::setParts(
+    const std::function<double(std::uint64_t bucket, double rate, double own)>& partOf, TimePoint now) -> void
+{
+    for (auto& [id, bucket] : this->buckets) {
+        const auto rate = toTokens(static_cast<double>(bucket->spec.whole.microTokensPerSecond));
+        bucket->part = partOf(id, rate, toTokens(bucket->steadyDemand));
+        bucket->escrow.setShare(partOfBucket(bucket->spec, bucket->part), now);
+    }
+}
+
+auto RateLimiter::demands() const -> std::vector<BucketDemand>
+{
+    auto list = std::vector<BucketDemand> {};
+    for (const auto* bucket : this->active)
+        list.push_back({ bucket->spec.id, static_cast<float>(toTokens(bucket->steadyDemand)) });
+    return list;
+}
+
 auto RateLimiter::acquire(std::uint64_t bucketId, std::int64_t amount, TimePoint deadline, TimePoint now, Done done)
     -> std::uint64_t
 {
@@ -122,7 +155,7 @@
         this->askFor(*bucket, now);
         this->endHopelessWaits(*bucket, now);
         this->collectSettlements(*bucket, now);
-        const auto isIdle = bucket->demand < leastDemand && bucket->waiting.empty() && bucket->openAsks == 0
+        const auto isIdle = bucket->demand < leastDemand && bucket->steadyDemand < leastDemand && bucket->waiting.empty() && bucket->openAsks == 0
             && !bucket->escrow.hasBorrowed();
         bucket->isActive = !isIdle;
     }
@@ -208,6 +241,8 @@
     const auto rate = static_cast<double>(bucket.demandSinceTick) / seconds(elapsed);
     const auto weight = 1 - std::exp(-seconds(elapsed) / seconds(demandTimeConstant));
     bucket.demand += (rate - bucket.demand) * weight;
+    const auto steadyWeight = 1 - std::exp(-seconds(elapsed) / seconds(steadyTimeConstant));
+    bucket.steadyDemand += (rate - bucket.steadyDemand) * steadyWeight;
     bucket.demandSinceTick = 0;
 }
 
--- a/src/citronloft/policy/target_pool.cpp
+++ b/src/citronloft/policy/target_pool.cpp
@@ -120,7 +120,8 @@
         if (best.size() > this->option.targetsPerObject)
             best.pop_back();
     }
-    const auto free = std::ranges::find_if(best, [](const Scored& item) { return item.load < 1; });
+    const auto free
+        = std::ranges::find_if(best, [this](const Scored& item) { return item.load < this->option.passOverLoad; });
     if (free != best.end())
         return free->member;
     const auto least = std::ranges::min_element(best, {}, &Scored::load);
