--- a/include/citronloft/fleet/fleet_host.hpp
+++ b/include/citronloft/fleet/fleet_host.hpp
@@ -109,6 +109,8 @@
 
     auto updateSlots(TimePoint now) -> void;
     auto shareDemands(TimePoint now) -> void;
+    auto sendZoneDemand(const std::vector<BucketDemand>& own) -> void;
+    auto takeZoneDemand(const ZoneDemandNotice& notice, TimePoint now) -> void;
     [[nodiscard]] auto isNewest(std::uint64_t sender, std::uint64_t sequence) -> bool;
     auto putInForce(const std::shared_ptr<const ActiveConfig>& active) -> void;
 
--- a/include/citronloft/fleet/messages.hpp
+++ b/include/citronloft/fleet/messages.hpp
@@ -252,9 +252,25 @@
     }
 };
 
+/// @brief The demand that one zone sees, summed over its hosts.
+struct ZoneDemandNotice {
+    std::uint64_t sender = 0;
+    std::uint64_t sequence = 0;
+    std::string zone;
+    std::uint32_t hosts = 0;
+    /// True: a host of the receiver's zone passes it on.
+    bool isRelayed = false;
+    std::vector<BucketDemand> demands;
+
+    template <typename Archive> auto serialize(Archive& archive) -> void
+    {
+        archive(this->sender, this->sequence, this->zone, this->hosts, this->isRelayed, this->demands);
+    }
+};
+
 /// @brief Any message between hosts.
 using PeerMessage = std::variant<GossipMessage, RenewRequest, RenewGrant, LoanAsk, LoanGrant, ConfigNotice, LoadNotice,
-    DemandNotice>;
+    DemandNotice, ZoneDemandNotice>;
 
 /// @brief Sends messages to other hosts; they may be lost, doubled, reordered or late.
 class PeerTransport {
--- a/include/citronloft/policy/demand_shares.hpp
+++ b/include/citronloft/policy/demand_shares.hpp
@@ -39,30 +39,50 @@
 public:
     DemandShares(DemandSharesOption option, std::string self);
 
-    /// @brief Notes that a host exists, by its IP number; its demand is 0 until it says otherwise.
+    /// @brief Notes that a host of this zone exists, by its IP number; its demand is 0 until it says otherwise.
     auto noteHost(const std::string& ip, TimePoint now) -> void;
 
     /// @brief Takes in a host's demands, whole each time.
     auto noteDemands(const std::string& ip, const std::vector<BucketDemand>& demands, TimePoint now) -> void;
 
-    /// @brief Forgets hosts that have been silent for too long.
+    /// @brief Takes in another zone's demands, summed over its hosts, whole each time.
+    auto noteZone(const std::string& zone, std::size_t hosts, const std::vector<BucketDemand>& demands, TimePoint now)
+        -> void;
+
+    /// @brief Notes how many hosts another zone has; its demand is 0 until it says otherwise.
+    auto noteZoneHosts(const std::string& zone, std::size_t hosts, TimePoint now) -> void;
+
+    /// @param own this host's demands.
+    /// @return the demands of this zone, summed over its hosts.
+    [[nodiscard]] auto zoneDemands(const std::vector<BucketDemand>& own) const -> std::vector<BucketDemand>;
+
+    /// @return hosts of this zone.
+    [[nodiscard]] auto zoneHosts() const -> std::size_t { return this->others.size() + 1; }
+
+    /// @brief Forgets hosts and zones that have been silent for too long.
     auto forgetSilent(TimePoint now) -> void;
 
     /// @param rate of the whole bucket per second; `own` is this host's demand per second.
     /// @return this host's part of the bucket, from 0 to 1.
     [[nodiscard]] auto partOf(std::uint64_t bucket, double rate, double own) const -> double;
 
-    [[nodiscard]] auto hosts() const -> std::size_t { return this->others.size() + 1; }
+    /// @return hosts of all zones.
+    [[nodiscard]] auto hosts() const -> std::size_t;
 
 private:
+    /// Another host of this zone, or another zone.
     struct Other {
         TimePoint heardAt;
+        std::size_t hosts = 1;
         std::map<std::uint64_t, double> demands;
     };
 
     DemandSharesOption option;
     std::string self;
+    /// By IP number.
     std::map<std::string, Other> others;
+    /// By name.
+    std::map<std::string, Other> zones;
 };
 
 } // namespace citronloft
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -30,8 +30,8 @@
 constexpr auto coldReserve = 0.8;
 /// Hosts that feed a cold target. Each may send one request at once, so few hosts keep the sum near the rate.
 constexpr auto coldFeeders = std::size_t { 3 };
-/// A loan comes within a round trip between regions, or not at all.
-constexpr auto rateWait = std::chrono::milliseconds { 120 };
+/// A loan of a zone peer comes within some round trips inside the zone, or not at all.
+constexpr auto rateWait = std::chrono::milliseconds { 30 };
 constexpr auto retryShareInterval = std::chrono::seconds { 1 };
 /// Twice the longest round trip between two regions that a deployment names, 110 ms, and some time for a busy target.
 constexpr auto targetConnectTimeout = std::chrono::milliseconds { 400 };
--- a/src/citronloft/fleet/fleet_host.cpp
+++ b/src/citronloft/fleet/fleet_host.cpp
@@ -99,14 +99,14 @@
         return;
     this->nextDemandsAt = now + demandInterval;
     this->demandShares.forgetSilent(now);
-    const auto notice
-        = DemandNotice { this->members.self().incarnation, ++this->noticeSequence, this->limiter.demands() };
-    for (const auto* hosts : { &this->members.zonePeers(), &this->members.remoteHosts() }) {
-        for (const auto& host : *hosts) {
-            this->demandShares.noteHost(host.ip, now);
-            this->surroundings.transport.send(host.peerAddress(), notice);
-        }
+    const auto own = this->limiter.demands();
+    const auto notice = DemandNotice { this->members.self().incarnation, ++this->noticeSequence, own };
+    for (const auto& host : this->members.zonePeers()) {
+        this->demandShares.noteHost(host.ip, now);
+        this->surroundings.transport.send(host.peerAddress(), notice);
     }
+    if (this->members.isDelegate())
+        this->sendZoneDemand(own);
     this->limiter.setParts(
         [this](std::uint64_t bucket, double rate, double own) {
             return this->demandShares.partOf(bucket, rate, own);
@@ -114,6 +114,32 @@
         now);
 }
 
+/// One host of each other zone is told; it passes the notice on inside its zone, where bytes cost little.
+auto FleetHost::sendZoneDemand(const std::vector<BucketDemand>& own) -> void
+{
+    const auto& self = this->members.self();
+    const auto notice = ZoneDemandNotice { self.incarnation, ++this->noticeSequence, self.zone,
+        static_cast<std::uint32_t>(this->demandShares.zoneHosts()), false, this->demandShares.zoneDemands(own) };
+    auto hostsByZone = std::map<std::string, std::vector<const HostEntry*>> {};
+    for (const auto& host : this->members.remoteHosts())
+        hostsByZone[host.zone].push_back(&host);
+    for (const auto& [zone, hosts] : hostsByZone)
+        this->surroundings.transport.send(hosts[this->noticeSequence % hosts.size()]->peerAddress(), notice);
+}
+
+auto FleetHost::takeZoneDemand(const ZoneDemandNotice& notice, TimePoint now) -> void
+{
+    if (!this->isNewest(notice.sender, notice.sequence) || notice.zone == this->members.self().zone)
+        return;
+    this->demandShares.noteZone(notice.zone, notice.hosts, notice.demands, now);
+    if (notice.isRelayed)
+        return;
+    auto relayed = notice;
+    relayed.isRelayed = true;
+    for (const auto& peer : this->members.zonePeers())
+        this->surroundings.transport.send(peer.peerAddress(), relayed);
+}
+
 auto FleetHost::receive(const Address& from, const PeerMessage& message) -> void
 {
     const auto now = this->surroundings.clock.now();
@@ -139,6 +165,8 @@
     } else if (const auto* demand = std::get_if<DemandNotice>(&message)) {
         if (this->isNewest(demand->sender, demand->sequence))
             this->demandShares.noteDemands(from.ip, demand->demands, now);
+    } else if (const auto* zoneDemand = std::get_if<ZoneDemandNotice>(&message)) {
+        this->takeZoneDemand(*zoneDemand, now);
     }
 }
 
@@ -152,15 +180,21 @@
 {
     const auto now = this->surroundings.clock.now();
     const auto& self = this->members.self();
+    auto hostsOfZone = std::map<std::string, std::size_t> {};
     // The newest seeds are kept, so this zone's hosts come last.
     for (const auto isOwnZone : { false, true }) {
         for (const auto& host : hosts) {
             if (host.ip == self.ip || (host.zone == self.zone) != isOwnZone)
                 continue;
-            this->demandShares.noteHost(host.ip, now);
+            if (isOwnZone)
+                this->demandShares.noteHost(host.ip, now);
+            else
+                ++hostsOfZone[host.zone];
             this->members.addSeed({ host.ip, self.peerPort });
         }
     }
+    for (const auto& [zone, count] : hostsOfZone)
+        this->demandShares.noteZoneHosts(zone, count, now);
 }
 
 auto FleetHost::shareLoads(std::vector<TargetLoad> loads) -> void
--- a/src/citronloft/policy/demand_shares_test.cpp
+++ b/src/citronloft/policy/demand_shares_test.cpp
@@ -49,6 +49,16 @@
     EXPECT_DOUBLE_EQ(shares.partOf(bucket, 100, 0), 0.25);
 }
 
+TEST(DemandShares, OtherZonesCountByTheirSums)
+{
+    auto shares = DemandShares({ .evenPart = 0 }, ipOf(0));
+    shares.noteDemands(ipOf(1), { { bucket, 10 } }, start);
+    shares.noteZone("other", 5, { { bucket, 60 } }, start);
+    EXPECT_EQ(shares.hosts(), 7U);
+    EXPECT_DOUBLE_EQ(shares.partOf(bucket, 100, 30), 0.3);
+    EXPECT_EQ(shares.zoneDemands({ { bucket, 30 } }), (std::vector<BucketDemand> { { bucket, 40 } }));
+}
+
 TEST(DemandShares, SilentHostsKeepTheirPartForAWhile)
 {
     auto shares = DemandShares({}, ipOf(0));
