One prober while the store is away; few missing targets are believed; stops close in time

Ruled out: dropping the grace for missing entries (a store that was away names many targets as gone that live).

--- a/include/citronloft/fleet/object_mirror.hpp
+++ b/include/citronloft/fleet/object_mirror.hpp
@@ -10,9 +10,9 @@
 #include <vector>
 
 #include <absl/status/statusor.h>
-#include <pcg_random.hpp>
 
 #include "citronloft/base/clock.hpp"
+#include "citronloft/fleet/store_link.hpp"
 
 namespace citronloft {
 
@@ -56,11 +56,10 @@
     Duration watchWait = std::chrono::seconds { 30 };
     /// Pause between two watches, so that the events of a burst arrive in one call.
     Duration pause = std::chrono::milliseconds { 150 };
-    /// First and greatest pause after failures.
-    Duration leastBackoff = std::chrono::milliseconds { 100 };
-    Duration greatestBackoff = std::chrono::milliseconds { 1600 };
-    /// After the store was away, objects that are missing are kept for so long: their owners may not have written yet.
+    /// After the store was away, objects that are missing are kept for so long if they are many: their owners may not
+    /// have written yet. Few missing ones are believed at once, since the others can do their work.
     Duration returnGrace = std::chrono::seconds { 2 };
+    double fewMissing = 0.2;
 };
 
 /// @brief Mirrors one kind. Revisions never fall; a list that is older than what is known is not believed.
@@ -69,8 +68,8 @@
     using Objects = std::map<std::string, MirroredObject>;
     using Changed = std::function<void(const Objects&)>;
 
-    ObjectMirror(ObjectMirrorOption option, const Clock& clock, std::shared_ptr<ObjectFeed> feed, std::uint64_t seed,
-        Changed changed);
+    ObjectMirror(ObjectMirrorOption option, const Clock& clock, std::shared_ptr<ObjectFeed> feed,
+        std::shared_ptr<StoreLink> link, Changed changed);
 
     /// @brief Starts calls that are due and drops objects whose time has come; to be called every 20 ms or so.
     auto tick(TimePoint now) -> void;
@@ -78,9 +77,6 @@
     /// @return whether a whole list has been read.
     [[nodiscard]] auto isReady() const -> bool { return this->isListed; }
 
-    /// @return when the store last answered.
-    [[nodiscard]] auto answeredAt() const -> TimePoint { return this->lastAnswerAt; }
-
     [[nodiscard]] auto objects() const -> const Objects& { return this->known; }
 
 private:
@@ -89,14 +85,14 @@
     auto takeList(absl::StatusOr<ObjectBatch> batch) -> void;
     auto takeEvents(absl::StatusOr<ObjectBatch> batch) -> void;
     auto finishList(std::uint64_t listRevision) -> void;
-    auto removeOrKeep(const std::string& name, TimePoint now) -> bool;
+    auto removeOrKeep(const std::vector<std::string>& names, TimePoint now) -> bool;
     auto noteAnswer() -> void;
     auto noteFailure(const absl::Status& status) -> void;
 
     ObjectMirrorOption option;
     const Clock& clock;
     std::shared_ptr<ObjectFeed> feed;
-    pcg32 random;
+    std::shared_ptr<StoreLink> link;
     Changed changed;
     Objects known;
     /// Objects of the list that is being read.
@@ -109,10 +105,6 @@
     bool mustList = true;
     bool isCalling = false;
     TimePoint nextCallAt {};
-    Duration backoff {};
-    TimePoint lastAnswerAt {};
-    TimePoint returnedAt {};
-    bool wasAway = false;
 };
 
 } // namespace citronloft
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -17,8 +17,8 @@
 
 /// After the callers' cached look-ups have run out, time for requests that are on their way.
 constexpr auto stopGrace = std::chrono::milliseconds { 1000 };
-/// The wait for cached look-ups leaves this part of the time for a stop to the last requests.
-constexpr auto stopReserveDivisor = 4;
+/// New requests are taken for this part of the time for a stop at most; the rest is for those that run.
+constexpr auto stopReserveDivisor = 2;
 /// A planned stop that has not drained by this part of its time ends all the same.
 constexpr auto stopOverduePercent = 95;
 constexpr auto percent = 100.0;
@@ -214,7 +214,7 @@
     this->leavingSince = this->clock.now();
     const auto active = this->fleet->config().active();
     const auto ttl = active ? active->config.settings.lookupTtl : std::chrono::milliseconds { 0 };
-    const auto greatestWait = this->settings.stopTime - this->settings.stopTime / stopReserveDivisor;
+    const auto greatestWait = this->settings.stopTime / stopReserveDivisor;
     this->quietUntil = this->leavingSince + std::min<std::chrono::milliseconds>(ttl + stopGrace, greatestWait);
     this->fleet->leave();
     this->service->closeAfterAnswers();
@@ -301,6 +301,10 @@
 auto Host::advanceStop(TimePoint now) -> void
 {
     const auto isOverdue = now > this->leavingSince + this->settings.stopTime * stopOverduePercent / 100;
+    if (now >= this->quietUntil && !std::exchange(this->isClosed, true)) {
+        LogEvent(LogLevel::Info, "service-closed").with("in_flight", this->service->inFlight());
+        this->service->closeIdle();
+    }
     if (!this->isDrained(now) && !isOverdue)
         return;
     this->lifecycle->process(HostEvent::Drained);
--- a/programs/citronloftd/host.hpp
+++ b/programs/citronloftd/host.hpp
@@ -80,6 +80,8 @@
     TimePoint leavingSince {};
     TimePoint quietUntil {};
     bool isHastened = false;
+    /// A stopping host takes no new connections any more.
+    bool isClosed = false;
     bool isFinished = false;
 };
 
--- a/src/citronloft/fleet/discovery.cpp
+++ b/src/citronloft/fleet/discovery.cpp
@@ -11,10 +11,11 @@
     , decoder(std::move(decoder))
     , listener(std::move(listener))
 {
+    const auto link = std::make_shared<StoreLink>(StoreLinkOption {}, seed);
     const auto mirror = [&](std::string kind, ObjectMirror::Changed changed) {
         auto option = ObjectMirrorOption {};
         option.kind = std::move(kind);
-        return std::make_shared<ObjectMirror>(std::move(option), clock, feed, seed++, std::move(changed));
+        return std::make_shared<ObjectMirror>(std::move(option), clock, feed, link, std::move(changed));
     };
     this->configs = mirror(this->decoder->configKind(), [this](const auto& objects) { this->takeConfig(objects); });
     this->targets = mirror(this->decoder->targetKind(), [this](const auto& objects) { this->takeTargets(objects); });
--- a/src/citronloft/fleet/object_mirror.cpp
+++ b/src/citronloft/fleet/object_mirror.cpp
@@ -7,11 +7,11 @@
 namespace citronloft {
 
 ObjectMirror::ObjectMirror(ObjectMirrorOption option, const Clock& clock, std::shared_ptr<ObjectFeed> feed,
-    std::uint64_t seed, Changed changed)
+    std::shared_ptr<StoreLink> link, Changed changed)
     : option(std::move(option))
     , clock(clock)
     , feed(std::move(feed))
-    , random(seed)
+    , link(std::move(link))
     , changed(std::move(changed))
 {
 }
@@ -26,7 +26,7 @@
     });
     if (dropped > 0)
         this->changed(this->known);
-    if (this->isCalling || now < this->nextCallAt)
+    if (this->isCalling || now < this->nextCallAt || !this->link->tryStart(now))
         return;
     if (this->mustList)
         this->startList({});
@@ -76,7 +76,9 @@
     }
     this->noteAnswer();
     if (this->listRevision < this->revision) {
-        this->noteFailure(absl::UnavailableError("the list is older than what is known"));
+        LogEvent(LogLevel::Warning, "list-too-old").with("kind", this->option.kind).with("revision", this->listRevision);
+        this->reading.clear();
+        this->nextCallAt = this->clock.now() + this->option.pause;
         return;
     }
     this->finishList(this->listRevision);
@@ -94,8 +96,7 @@
         if (!this->reading.contains(name))
             missing.push_back(name);
     }
-    for (const auto& name : missing)
-        this->removeOrKeep(name, now);
+    this->removeOrKeep(missing, now);
     this->reading.clear();
     this->revision = listedAt;
     this->mustList = false;
@@ -108,6 +109,7 @@
 {
     if (absl::IsOutOfRange(batch.status())) {
         LogEvent(LogLevel::Info, "mirror-relist").with("kind", this->option.kind).with("revision", this->revision);
+        this->noteAnswer();
         this->mustList = true;
         this->nextCallAt = this->clock.now();
         return;
@@ -119,55 +121,56 @@
     this->noteAnswer();
     const auto now = this->clock.now();
     auto hasChanged = false;
+    auto deleted = std::vector<std::string> {};
     for (auto& object : batch->objects) {
         const auto old = this->known.find(object.name);
         if (old != this->known.end() && object.revision < old->second.revision)
             continue;
         if (object.isDeleted) {
-            hasChanged = this->removeOrKeep(object.name, now) || hasChanged;
+            deleted.push_back(object.name);
             continue;
         }
+        std::erase(deleted, object.name);
         this->keptUntil.erase(object.name);
         this->known.insert_or_assign(object.name, std::move(object));
         hasChanged = true;
     }
+    hasChanged = this->removeOrKeep(deleted, now) || hasChanged;
     this->revision = std::max(this->revision, batch->revision);
     this->nextCallAt = now + this->option.pause;
     if (hasChanged)
         this->changed(this->known);
 }
 
-/// @return whether the object was removed at once.
-auto ObjectMirror::removeOrKeep(const std::string& name, TimePoint now) -> bool
+/// @return whether an object was removed at once.
+auto ObjectMirror::removeOrKeep(const std::vector<std::string>& names, TimePoint now) -> bool
 {
-    const auto graceEnd = this->returnedAt + this->option.returnGrace;
-    if (this->returnedAt == TimePoint {} || now >= graceEnd)
-        return this->known.erase(name) > 0;
-    this->keptUntil.try_emplace(name, graceEnd);
-    return false;
+    const auto graceEnd = this->link->returnedAt() + this->option.returnGrace;
+    const auto isInGrace = this->link->returnedAt() != TimePoint {} && now < graceEnd;
+    const auto missing = static_cast<double>(names.size() + this->keptUntil.size());
+    const auto isMany = missing > static_cast<double>(this->known.size()) * this->option.fewMissing;
+    auto removed = std::size_t { 0 };
+    for (const auto& name : names) {
+        if (isInGrace && isMany)
+            this->keptUntil.try_emplace(name, graceEnd);
+        else
+            removed += this->known.erase(name);
+    }
+    return removed > 0;
 }
 
 auto ObjectMirror::noteAnswer() -> void
 {
-    const auto now = this->clock.now();
-    this->lastAnswerAt = now;
-    this->backoff = {};
-    if (!std::exchange(this->wasAway, false))
-        return;
-    this->returnedAt = now;
-    LogEvent(LogLevel::Info, "store-regained").with("kind", this->option.kind);
+    if (this->link->noteAnswer(this->clock.now()))
+        LogEvent(LogLevel::Info, "store-regained").with("kind", this->option.kind);
 }
 
-/// Exponential back-off with jitter: a fleet that lost the store together must not return to it together.
 auto ObjectMirror::noteFailure(const absl::Status& status) -> void
 {
-    if (!std::exchange(this->wasAway, true))
+    if (this->link->noteFailure(status, this->clock.now()))
         LogEvent(LogLevel::Warning, "store-lost").with("kind", this->option.kind).with("reason", status.ToString());
     this->reading.clear();
-    this->backoff = std::clamp(this->backoff * 2, this->option.leastBackoff, Duration { this->option.greatestBackoff });
-    constexpr auto steps = 1000U;
-    const auto jittered = this->backoff / 2 + this->backoff / 2 * this->random(steps) / steps;
-    this->nextCallAt = this->clock.now() + jittered;
+    this->nextCallAt = this->clock.now();
 }
 
 } // namespace citronloft
--- a/src/citronloft/fleet/object_mirror_test.cpp
+++ b/src/citronloft/fleet/object_mirror_test.cpp
@@ -67,9 +67,10 @@
 
     ManualClock clock;
     std::shared_ptr<ScriptedFeed> feed = std::make_shared<ScriptedFeed>();
+    std::shared_ptr<StoreLink> link = std::make_shared<StoreLink>(StoreLinkOption {}, 1);
     int changes = 0;
     std::shared_ptr<ObjectMirror> mirror = std::make_shared<ObjectMirror>(
-        ObjectMirrorOption { .kind = "targets" }, clock, feed, 1, [this](const auto&) { ++this->changes; });
+        ObjectMirrorOption { .kind = "targets" }, clock, feed, link, [this](const auto&) { ++this->changes; });
 };
 
 TEST_F(ObjectMirrorTest, ListIsReadPageByPageAndWatchedFromItsFirstPage)
@@ -118,6 +119,18 @@
     EXPECT_THAT(this->names(), ElementsAre("b"));
 }
 
+TEST_F(ObjectMirrorTest, SingleObjectThatIsMissingAfterAnOutageIsGone)
+{
+    auto objects = std::vector<MirroredObject> {};
+    for (const auto* name : { "a", "b", "c", "d", "e", "f" })
+        objects.push_back({ name, 1, "", false });
+    this->listed(objects, 2);
+    this->feed->answer(absl::DeadlineExceededError("cut off"));
+    this->tickFor(300ms);
+    this->feed->answer(ObjectBatch { { { "a", 3, "", true } }, false, 4 });
+    EXPECT_THAT(this->names(), ElementsAre("b", "c", "d", "e", "f"));
+}
+
 TEST_F(ObjectMirrorTest, FailuresAreRepeatedWithGrowingPauses)
 {
     auto calls = 0;
