--- a/include/citronloft/base/log.hpp
+++ b/include/citronloft/base/log.hpp
@@ -13,7 +13,7 @@
 enum class LogLevel : std::uint8_t { Debug, Info, Warning, Error };
 
 /// @brief Opens the log; must be called once before the first event.
-/// @param path file to append to; empty for standard error.
+/// @param path file to append to; empty for standard output, where a line that would block is dropped and counted.
 /// @param level events below it are dropped.
 auto openLog(const std::string& path, LogLevel level) -> void;
 
--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -13,6 +13,7 @@
 #include <pcg_random.hpp>
 
 #include "citronloft/base/counters.hpp"
+#include "citronloft/base/log_limiter.hpp"
 #include "citronloft/edge/call.hpp"
 #include "citronloft/edge/http_client.hpp"
 #include "citronloft/edge/lookup_service.hpp"
@@ -78,6 +79,9 @@
     /// @brief Answers one request.
     auto handle(HttpRequest& request, CallerContext& caller, boost::asio::yield_context yield) -> HttpResponse;
 
+    /// @brief Takes in that this host's own state has changed, before the next look-up.
+    auto refreshLookups() -> void { this->lookup.refresh(this->clock.now()); }
+
     /// @brief Answers one look-up.
     auto handleLookup(const HttpRequest& request, const CallerContext& caller) -> HttpResponse;
 
@@ -126,6 +130,8 @@
         boost::asio::yield_context yield) -> CallResult;
     auto refuseWithoutTarget(Call& call, ResultCode refusal, boost::asio::yield_context yield) -> CallResult;
     auto readLoad(PoolAdmission& admission, const std::string& target, const TargetFields& fields) -> void;
+    auto logFailure(const HttpRequest& request, const ResultInfo& info, Duration took) -> void;
+    auto logRetry(const Call& call, ResultCode code, const std::string& target, unsigned attempt) -> void;
     auto finish(const HttpRequest& request, CallResult result, TimePoint startedAt) -> HttpResponse;
 
     boost::asio::io_context& context;
@@ -142,6 +148,7 @@
     pcg32 random;
     /// Smoothed time from sending a request to its answer, by route.
     std::map<std::string, Duration> routeLatencies;
+    LogLimiter logLimiter;
     std::vector<TargetLoad> sharedLoads;
     TimePoint nextShareAt {};
     std::shared_ptr<HttpClient> client;
--- a/include/citronloft/edge/lookup_service.hpp
+++ b/include/citronloft/edge/lookup_service.hpp
@@ -30,6 +30,9 @@
     /// @brief Rebuilds the answers and moves the boundaries.
     auto tick(TimePoint now) -> void;
 
+    /// @brief Rebuilds the answers now.
+    auto refresh(TimePoint now) -> void;
+
     /// @param callerIp used if the query names no client.
     /// @return the answer; status 503 without a body if no zone may take the caller now.
     auto answer(const HttpRequest& request, const std::string& callerIp) -> HttpResponse;
--- a/include/citronloft/fleet/fleet_host.hpp
+++ b/include/citronloft/fleet/fleet_host.hpp
@@ -89,7 +89,8 @@
     [[nodiscard]] auto shares() const -> const ShareHolder& { return *this->holder; }
     [[nodiscard]] auto steward() const -> const ZoneSteward& { return *this->zoneSteward; }
 
-    /// @brief Takes in the hosts that have registered: they are greeted, and those of this zone hold parts of its rates.
+    /// @brief Takes in the hosts that have registered: they are greeted, and those of this zone hold parts of its
+    /// rates.
     auto noteRegistered(const std::vector<RegisteredHost>& hosts) -> void;
 
     /// @brief Tells the zone's hosts what this host has in flight at the targets.
@@ -109,6 +110,7 @@
 
     auto updateSlots(TimePoint now) -> void;
     auto shareDemands(TimePoint now) -> void;
+    auto updateParts(TimePoint now) -> void;
     auto sendZoneDemand(const std::vector<BucketDemand>& own) -> void;
     auto takeZoneDemand(const ZoneDemandNotice& notice, TimePoint now) -> void;
     [[nodiscard]] auto isNewest(std::uint64_t sender, std::uint64_t sequence) -> bool;
--- a/include/citronloft/fleet/rate_limiter.hpp
+++ b/include/citronloft/fleet/rate_limiter.hpp
@@ -130,6 +130,8 @@
         /// Micro-tokens per second, smoothed over a longer time, for the division among hosts.
         double steadyDemand = 0;
         double part = 0;
+        /// No part has been set yet.
+        bool isNew = true;
         std::deque<Waiting> waiting;
         /// Lenders of the present sweep that have not been asked yet.
         std::vector<Lender> unasked;
--- a/include/citronloft/policy/escrow_bucket.hpp
+++ b/include/citronloft/policy/escrow_bucket.hpp
@@ -43,6 +43,9 @@
     /// @return own and borrowed micro-tokens that can be taken now.
     auto available(TimePoint now) -> std::int64_t;
 
+    /// @brief Adds micro-tokens, up to the cap.
+    auto grant(std::int64_t amount, TimePoint now) -> void;
+
     /// @brief Takes `amount` micro-tokens, borrowed ones first.
     /// @return false, with nothing taken, if there are not enough.
     auto take(std::int64_t amount, TimePoint now) -> bool;
--- a/include/citronloft/policy/shares.hpp
+++ b/include/citronloft/policy/shares.hpp
@@ -52,6 +52,8 @@
     std::uint32_t units = 1;
     /// Units of the zone that asks.
     std::uint32_t zoneUnits = 0;
+    /// Micro-tokens that all hosts together may start with; a fleet that restarts as a whole gets them once more.
+    std::int64_t startMicroTokens = 0;
 
     auto operator==(const BucketSpec&) const -> bool = default;
 };
--- a/programs/citronloftd/components.cpp
+++ b/programs/citronloftd/components.cpp
@@ -81,9 +81,10 @@
         this->host.service->closeIdle();
 }
 
-PortComponent::PortComponent(Host& host, std::uint16_t port, Handler handler)
+PortComponent::PortComponent(Host& host, std::uint16_t port, bool isNeeded, Handler handler)
     : host(host)
     , port(port)
+    , isNeeded(isNeeded)
     , handler(std::move(handler))
 {
 }
@@ -93,6 +94,12 @@
     const auto handle = [this](const HttpRequest& request, const CallerContext& caller,
                             const boost::asio::yield_context&) { return this->handler(request, caller); };
     auto made = makeHttpServer(this->host.context, { this->host.settings.ip, this->port }, handle);
+    if (!made.ok() && !this->isNeeded) {
+        LogEvent(LogLevel::Warning, "port-not-opened")
+            .with("port", this->port)
+            .with("reason", made.status().ToString());
+        return absl::OkStatus();
+    }
     if (!made.ok())
         return made.status();
     this->server = *made;
--- a/programs/citronloftd/components.hpp
+++ b/programs/citronloftd/components.hpp
@@ -39,7 +39,8 @@
 public:
     using Handler = std::function<HttpResponse(const HttpRequest&, const CallerContext&)>;
 
-    PortComponent(Host& host, std::uint16_t port, Handler handler);
+    /// @param isNeeded false: a port that is taken is logged, and the host starts without it.
+    PortComponent(Host& host, std::uint16_t port, bool isNeeded, Handler handler);
 
     auto start() -> absl::Status override;
     auto stop() -> void override;
@@ -47,6 +48,7 @@
 private:
     Host& host;
     std::uint16_t port;
+    bool isNeeded;
     Handler handler;
     std::shared_ptr<HttpServer> server;
 };
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -124,8 +124,7 @@
     option.shares = ShareStrategy::Demand;
     option.rates.dividesByDemand = true;
     option.rates.greatestWait = rateWait;
-    option.tolerance
-        = { this->settings.rateOverage, this->settings.rateSlack, Duration { this->settings.rateWindow } };
+    option.tolerance = { this->settings.rateOverage, this->settings.rateSlack, Duration { this->settings.rateWindow } };
     option.isConfigOffered = true;
     option.membership.hostsPerSummary = hostsPerSummary;
     return option;
@@ -173,9 +172,9 @@
             LogEvent(LogLevel::Info, "zone-evacuated").with("zone", zone);
         this->gateway->setEvacuatedZones(std::move(zones));
     };
-    this->registry = std::make_shared<HostRegistry>(RegisteredHost { this->settings.zone, this->settings.ip },
-        this->clock, this->platform.store, randomId(),
-        [this](const auto& hosts) { this->fleet->noteRegistered(hosts); });
+    this->registry
+        = std::make_shared<HostRegistry>(RegisteredHost { this->settings.zone, this->settings.ip }, this->clock,
+            this->platform.store, randomId(), [this](const auto& hosts) { this->fleet->noteRegistered(hosts); });
     this->discovery = std::make_unique<Discovery>(
         this->clock, this->metrics, this->platform.feed, this->platform.decoder, randomId(), std::move(listener));
 }
@@ -189,15 +188,15 @@
         });
     this->supervisor->add("fleet", std::make_shared<FleetComponent>(*this));
     this->supervisor->add("service", std::make_shared<ServiceComponent>(*this));
-    const auto addPort = [this](const char* name, std::uint16_t port, PortComponent::Handler handler) {
+    const auto addPort = [this](const char* name, std::uint16_t port, bool isNeeded, PortComponent::Handler handler) {
         if (port != 0)
-            this->supervisor->add(name, std::make_shared<PortComponent>(*this, port, std::move(handler)));
+            this->supervisor->add(name, std::make_shared<PortComponent>(*this, port, isNeeded, std::move(handler)));
     };
-    addPort("status", this->settings.statusPort,
+    addPort("status", this->settings.statusPort, !this->usesAdapter(),
         [this](const HttpRequest& request, const CallerContext&) { return this->handleStatus(request); });
-    addPort("ready", this->settings.readyPort,
+    addPort("ready", this->settings.readyPort, true,
         [this](const HttpRequest&, const CallerContext&) { return this->handleReady(); });
-    addPort("lookup", this->settings.lookupPort, [this](const HttpRequest& request, const CallerContext& caller) {
+    addPort("lookup", this->settings.lookupPort, true, [this](const HttpRequest& request, const CallerContext& caller) {
         return this->gateway->handleLookup(request, caller);
     });
     if (!this->usesAdapter())
@@ -217,6 +216,7 @@
     const auto greatestWait = this->settings.stopTime / stopReserveDivisor;
     this->quietUntil = this->leavingSince + std::min<std::chrono::milliseconds>(ttl + stopGrace, greatestWait);
     this->fleet->leave();
+    this->gateway->refreshLookups();
     this->service->closeAfterAnswers();
     LogEvent(LogLevel::Info, "host-leaving").with("lookup_ttl_ms", ttl.count());
 }
@@ -279,6 +279,7 @@
     // A drained host shows itself as leaving and goes on serving until it is stopped or put back.
     if (this->lifecycle->state() == HostState::Serving)
         this->fleet->membership().setState(isDrained ? HostState::Leaving : HostState::Serving);
+    this->gateway->refreshLookups();
 }
 
 auto Host::onTick() -> void
--- a/programs/citronloftd/main.cpp
+++ b/programs/citronloftd/main.cpp
@@ -1,11 +1,13 @@
 /// @file
 /// @brief citronloftd, the daemon on each entry host.
 
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <sstream>
 
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/program_options.hpp>
 #include <csignal>
 
@@ -49,6 +51,51 @@
         citronloft::LogEvent(citronloft::LogLevel::Error, "settings-refused").with("path", path);
 }
 
+/// Notices a settings file that was replaced without a signal.
+class SettingsWatch {
+public:
+    SettingsWatch(boost::asio::io_context& context, std::string path, std::function<void()> changed)
+        : timer(context)
+        , path(std::move(path))
+        , changed(std::move(changed))
+        , writtenAt(this->modificationTime())
+    {
+        this->schedule();
+    }
+
+    /// @brief Counts the file as read.
+    auto markRead() -> void { this->writtenAt = this->modificationTime(); }
+
+private:
+    /// Settings must be in force some seconds after they change.
+    static constexpr auto interval = std::chrono::seconds { 1 };
+
+    [[nodiscard]] auto modificationTime() const -> std::filesystem::file_time_type
+    {
+        auto error = std::error_code {};
+        return std::filesystem::last_write_time(this->path, error);
+    }
+
+    auto schedule() -> void
+    {
+        this->timer.expires_after(interval);
+        this->timer.async_wait([this](boost::system::error_code error) {
+            if (error)
+                return;
+            if (this->modificationTime() != this->writtenAt) {
+                this->markRead();
+                this->changed();
+            }
+            this->schedule();
+        });
+    }
+
+    boost::asio::steady_timer timer;
+    std::string path;
+    std::function<void()> changed;
+    std::filesystem::file_time_type writtenAt;
+};
+
 auto run(const citronloft::HostSettings& settings, const std::string& path) -> int
 {
     auto context = boost::asio::io_context { 1 };
@@ -62,12 +109,14 @@
         std::cerr << "citronloftd: " << status.message() << "\n";
         return 1;
     }
+    auto watch = SettingsWatch(context, path, [&] { reload(host, path); });
     std::function<void()> waitForSignal = [&] {
         signals.async_wait([&](boost::system::error_code error, int signal) {
             if (error)
                 return;
             if (signal == SIGHUP) {
                 citronloft::reopenLog();
+                watch.markRead();
                 reload(host, path);
             } else {
                 host.stop();
--- a/src/citronloft/base/config_test.cpp
+++ b/src/citronloft/base/config_test.cpp
@@ -41,6 +41,38 @@
   - { name: z, region: one }
 )";
 
+TEST(ConfigFile, RoutesTeamsAndPoolsSurviveARoundTripWithAllTheirFields)
+{
+    const auto reading = readConfig(R"(
+settings: { lookup_ttl_ms: 2000, greatest_header_bytes: 9000, greatest_body_bytes: 70000, header_timeout_ms: 3000, idle_timeout_ms: 15000 }
+teams:
+  - { name: a, rate: 10, burst: 10, priority: 2, home_regions: [north] }
+  - { name: free, rate: 0 }
+zones:
+  - { name: n1, region: north }
+pools:
+  - { name: p, health_path: /health, connections: 50, cold_rate: 16 }
+  - { name: q }
+routes:
+  - { name: r, host: x.example, prefix: /r/, split: { p: 90, q: 10 }, objective_ms: 250, priority: 1, attempts: 2, sticky: true, home_regions: [north] }
+)");
+    ASSERT_TRUE(reading.config) << formatFault("f", reading.faults.at(0));
+    EXPECT_EQ(reading.config->routes.at(0).split.size(), 2U);
+    EXPECT_EQ(reading.config->settings.callers.bodyBytes, 70000U);
+    EXPECT_EQ(readConfig(writeConfig(*reading.config)).config, reading.config);
+    EXPECT_EQ(*fromRecords(toRecords(*reading.config)), *reading.config);
+}
+
+TEST(ConfigFile, RouteNeedsAPoolOrASplitAndNotBoth)
+{
+    const auto pools = std::string { "pools: [{ name: p }]\nroutes:\n  - { name: r, prefix: /, " };
+    EXPECT_TRUE(readConfig(pools + "pool: p }\n").config);
+    EXPECT_FALSE(readConfig(pools + "pool: p, split: { p: 1 } }\n").config);
+    EXPECT_FALSE(readConfig(pools + "priority: 1 }\n").config);
+    EXPECT_FALSE(readConfig(pools + "split: { p: 0 } }\n").config);
+    EXPECT_FALSE(readConfig(pools + "split: { z: 1 } }\n").config);
+}
+
 TEST(ConfigFile, ExamplesAreValidAndSurviveARoundTrip)
 {
     for (const auto* path : { "examples/waitaha.yaml", "examples/fascia.yaml" }) {
--- a/src/citronloft/base/counters.cpp
+++ b/src/citronloft/base/counters.cpp
@@ -1,15 +1,20 @@
 #include "citronloft/base/counters.hpp"
 
+#include <array>
+#include <vector>
+
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/max.hpp>
 #include <boost/accumulators/statistics/p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
+#include <boost/histogram.hpp>
 
 namespace citronloft {
 
 namespace {
 
+namespace histogram = boost::histogram;
 namespace acc = boost::accumulators;
 
 using Quantile = acc::accumulator_set<double, acc::stats<acc::tag::p_square_quantile, acc::tag::count, acc::tag::max>>;
@@ -26,9 +31,41 @@
 
 } // namespace
 
+namespace {
+
+/// Upper bounds in seconds; the objectives and timeouts of today's routes lie between them.
+constexpr auto latencyBounds
+    = std::to_array({ 0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1.0, 1.5, 2.5, 5.0, 10.0 });
+
+auto makeLatencyHistogram()
+{
+    auto edges = std::vector<double> { 0 };
+    edges.insert(edges.end(), latencyBounds.begin(), latencyBounds.end());
+    return histogram::make_histogram(histogram::axis::variable<>(edges));
+}
+
+} // namespace
+
 struct Metrics::Summary {
     Quantile median { acc::quantile_probability = 0.5 };
     Quantile tail { acc::quantile_probability = 0.99 };
+    decltype(makeLatencyHistogram()) buckets = makeLatencyHistogram();
+    double sum = 0;
+
+    /// @return lines of the cumulative buckets, the sum and the count.
+    [[nodiscard]] auto bucketLines(const std::string& name) const -> std::string
+    {
+        auto text = std::string {};
+        auto below = 0.0;
+        for (const auto& bucket : histogram::indexed(this->buckets)) {
+            below += *bucket;
+            text += line(name + "_bucket{le=\"" + std::to_string(bucket.bin().upper()) + "\"}",
+                std::to_string(static_cast<std::uint64_t>(below)));
+        }
+        text += line(name + "_bucket{le=\"+Inf\"}", std::to_string(acc::count(this->tail)));
+        text += line(name + "_sum", std::to_string(this->sum));
+        return text;
+    }
 };
 
 Metrics::Metrics() = default;
@@ -52,6 +89,8 @@
     const auto seconds = std::chrono::duration<double>(latency).count();
     summary->median(seconds);
     summary->tail(seconds);
+    summary->buckets(seconds);
+    summary->sum += seconds;
 }
 
 auto Metrics::value(std::string_view name, std::string_view label) const -> std::uint64_t
@@ -71,6 +110,7 @@
         text += line(name + "{quantile=\"0.5\"}", std::to_string(acc::p_square_quantile(summary->median)));
         text += line(name + "{quantile=\"0.99\"}", std::to_string(acc::p_square_quantile(summary->tail)));
         text += line(name + "_max", std::to_string(acc::max(summary->tail)));
+        text += summary->bucketLines(name);
         text += line(name + "_count", std::to_string(acc::count(summary->tail)));
     }
     return text;
--- /dev/null
+++ b/src/citronloft/base/log_limiter.cpp
@@ -0,0 +1,32 @@
+#include "citronloft/base/log_limiter.hpp"
+
+#include <utility>
+
+namespace citronloft {
+
+LogLimiter::LogLimiter(std::uint32_t linesPerInterval, Duration interval)
+    : linesPerInterval(linesPerInterval)
+    , interval(interval)
+{
+}
+
+auto LogLimiter::allow(std::string_view kind, TimePoint now, std::uint64_t& leftOut) -> bool
+{
+    auto found = this->kinds.find(kind);
+    if (found == this->kinds.end())
+        found = this->kinds.emplace(std::string { kind }, Kind {}).first;
+    auto& state = found->second;
+    if (now >= state.intervalEnds) {
+        state.intervalEnds = now + this->interval;
+        state.lines = 0;
+    }
+    if (state.lines >= this->linesPerInterval) {
+        ++state.leftOut;
+        return false;
+    }
+    ++state.lines;
+    leftOut = std::exchange(state.leftOut, 0);
+    return true;
+}
+
+} // namespace citronloft
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -371,11 +371,7 @@
             return { doubt.value_or(result.code), {}, busyRetryAfter };
         const auto reason = "reason=\"" + std::string { resultInfo(result.code).name } + "\"";
         this->metrics.count("citronloft_retries_total", reason);
-        LogEvent(LogLevel::Info, "request-retried")
-            .with("request", call.fields.requestId)
-            .with("reason", resultInfo(result.code).name)
-            .with("target", slot.target)
-            .with("attempt", attempt);
+        this->logRetry(call, result.code, slot.target, attempt);
         wish.avoid.push_back(slot.target);
     }
 }
@@ -557,6 +553,43 @@
         this->prober.probe(*admission, yield);
 }
 
+/// Refusals and failures are logged with what decided them; kinds that come often are bounded.
+auto Gateway::logFailure(const HttpRequest& request, const ResultInfo& info, Duration took) -> void
+{
+    auto leftOut = std::uint64_t { 0 };
+    if (!this->logLimiter.allow(info.name, this->clock.now(), leftOut))
+        return;
+    const auto fields = this->dialect->readRequest(request);
+    const auto active = this->snapshot ? this->snapshot->active : nullptr;
+    const auto age = this->fleet.config().age(this->clock.now());
+    LogEvent(LogLevel::Info, "request-failed")
+        .with("request", fields.requestId)
+        .with("result", info.name)
+        .with("code", static_cast<unsigned>(info.code))
+        .with("outcome", outcomeName(info.outcome))
+        .with("host", request.fields.get("Host"))
+        .with("path", std::string_view { request.target }.substr(0, request.target.find('?')))
+        .with("object", fields.object)
+        .with("took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(took).count())
+        .with("config", active ? active->version : 0)
+        .with("config_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age).count())
+        .with("left_out", leftOut);
+}
+
+auto Gateway::logRetry(const Call& call, ResultCode code, const std::string& target, unsigned attempt) -> void
+{
+    auto leftOut = std::uint64_t { 0 };
+    if (!this->logLimiter.allow("retry", this->clock.now(), leftOut))
+        return;
+    LogEvent(LogLevel::Info, "request-retried")
+        .with("request", call.fields.requestId)
+        .with("reason", resultInfo(code).name)
+        .with("pool", call.pool)
+        .with("target", target)
+        .with("attempt", attempt)
+        .with("left_out", leftOut);
+}
+
 auto Gateway::finish(const HttpRequest& request, CallResult result, TimePoint startedAt) -> HttpResponse
 {
     const auto& info = resultInfo(result.code);
@@ -565,16 +598,8 @@
     const auto hasAnswer = result.code == ResultCode::Answered || result.code == ResultCode::LookupAnswered;
     if (result.code == ResultCode::Answered)
         this->metrics.observe("citronloft_request_seconds", took);
-    if (!hasAnswer) {
-        const auto fields = this->dialect->readRequest(request);
-        LogEvent(LogLevel::Info, "request-failed")
-            .with("request", fields.requestId)
-            .with("path", std::string_view { request.target }.substr(0, request.target.find('?')))
-            .with("object", fields.object)
-            .with("result", info.name)
-            .with("took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(took).count())
-            .with("config", this->snapshot ? this->snapshot->active->version : 0);
-    }
+    if (!hasAnswer)
+        this->logFailure(request, info, took);
     auto response = hasAnswer
         ? std::move(result.response)
         : this->dialect->refuse(result.code, std::chrono::ceil<std::chrono::milliseconds>(result.retryAfter));
--- a/src/citronloft/edge/http_test.cpp
+++ b/src/citronloft/edge/http_test.cpp
@@ -165,6 +165,76 @@
     });
 }
 
+TEST_F(HttpTest, AnswerThatNamesAnotherRequestBelongsToNobody)
+{
+    auto target = RawServer(this->context,
+        { { "HTTP/1.1 200 OK\r\nX-Id: 6\r\nContent-Length: 1\r\n\r\na"
+            "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 1\r\n\r\nb",
+            false } });
+    this->run([&](boost::asio::yield_context yield) {
+        auto option = ExchangeOption {};
+        option.deadline = this->clock.now() + 5s;
+        option.idField = "X-Id";
+        option.id = "7";
+        const auto exchange = this->client->exchange(target.address(), { "GET", "/x", {}, {} }, option, yield);
+        EXPECT_EQ(exchange.response.body, "b");
+        EXPECT_EQ(this->client->openConnections(target.address()), 0U);
+    });
+}
+
+TEST_F(HttpTest, PipelinedRequestsAreHandledSideBySideAndAnsweredInOrder)
+{
+    this->handle = [this](HttpRequest& request, CallerContext&, boost::asio::yield_context yield) {
+        auto timer = boost::asio::steady_timer(this->context);
+        timer.expires_after(request.target == "/slow" ? 300ms : 0ms);
+        timer.async_wait(yield);
+        auto response = HttpResponse {};
+        response.body = request.target;
+        return response;
+    };
+    const auto address = this->startServer();
+    this->run([&](boost::asio::yield_context yield) {
+        const auto bytes = std::string { "GET /slow HTTP/1.1\r\nHost: x\r\n\r\nGET /fast HTTP/1.1\r\nHost: x\r\n\r\n"
+                                         "GET /slow HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n" };
+        const auto answer = sendRaw(this->context, address, bytes, 5s, yield);
+        const auto first = answer.find("/slow");
+        const auto second = answer.find("/fast");
+        EXPECT_LT(first, second);
+        EXPECT_LT(second, answer.rfind("/slow"));
+    });
+    EXPECT_EQ(this->handled, 3);
+}
+
+TEST_F(HttpTest, NothingIsHandledBehindARequestThatClosesTheConnection)
+{
+    const auto address = this->startServer();
+    this->run([&](boost::asio::yield_context yield) {
+        const auto bytes = std::string { "GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+                                         "GET /b HTTP/1.1\r\nHost: x\r\n\r\n" };
+        sendRaw(this->context, address, bytes, 2s, yield);
+    });
+    EXPECT_EQ(this->handled, 1);
+}
+
+TEST_F(HttpTest, ClosingServerNamesTheCloseInTheLastOfSeveralAnswers)
+{
+    this->handle = [this](HttpRequest&, CallerContext&, boost::asio::yield_context yield) {
+        auto timer = boost::asio::steady_timer(this->context, 200ms);
+        timer.async_wait(yield);
+        this->server->closeAfterAnswers();
+        return HttpResponse {};
+    };
+    const auto address = this->startServer();
+    this->run([&](boost::asio::yield_context yield) {
+        const auto bytes = std::string { "GET /a HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n" };
+        const auto answer = sendRaw(this->context, address, bytes, 5s, yield);
+        const auto second = answer.find("HTTP/1.1", 1);
+        ASSERT_NE(second, std::string::npos);
+        EXPECT_GT(answer.find("Connection: close"), second);
+    });
+    EXPECT_EQ(this->handled, 2);
+}
+
 struct Answer {
     std::string name;
     std::string method;
--- a/src/citronloft/edge/lookup_service.cpp
+++ b/src/citronloft/edge/lookup_service.cpp
@@ -37,6 +37,12 @@
     this->plan.tick([this](const std::string& zone) { return this->isUp(zone); }, now);
 }
 
+auto LookupService::refresh(TimePoint now) -> void
+{
+    this->nextBuildAt = TimePoint {};
+    this->tick(now);
+}
+
 auto LookupService::answer(const HttpRequest& request, const std::string& callerIp) -> HttpResponse
 {
     const auto query = this->dialect.readLookup(request);
--- a/src/citronloft/fleet/fleet_host.cpp
+++ b/src/citronloft/fleet/fleet_host.cpp
@@ -19,6 +19,8 @@
 constexpr auto demandInterval = std::chrono::milliseconds { 300 };
 /// Part of the tolerance that buckets use; the rest covers requests that wait between admission and run.
 constexpr auto toleranceUsed = 0.5;
+/// Part of the extra burst that a host starts with: a fleet that restarts gets it again within one window.
+constexpr auto startPart = 0.5;
 
 } // namespace
 
@@ -107,10 +109,13 @@
     }
     if (this->members.isDelegate())
         this->sendZoneDemand(own);
+    this->updateParts(now);
+}
+
+auto FleetHost::updateParts(TimePoint now) -> void
+{
     this->limiter.setParts(
-        [this](std::uint64_t bucket, double rate, double own) {
-            return this->demandShares.partOf(bucket, rate, own);
-        },
+        [this](std::uint64_t bucket, double rate, double own) { return this->demandShares.partOf(bucket, rate, own); },
         now);
 }
 
@@ -230,6 +235,9 @@
 {
     const auto now = this->surroundings.clock.now();
     this->limiter.setBuckets(bucketsOf(active->config, this->members.self().zone, this->option.tolerance), now);
+    // A new team's first request does not wait for the next notice.
+    if (this->option.shares == ShareStrategy::Demand)
+        this->updateParts(now);
     this->inForce(active);
 }
 
@@ -246,8 +254,7 @@
     return (allowed + this->slack) * toleranceUsed;
 }
 
-auto bucketsOf(const Config& config, const std::string& zone, const RateTolerance& tolerance)
-    -> std::vector<BucketSpec>
+auto bucketsOf(const Config& config, const std::string& zone, const RateTolerance& tolerance) -> std::vector<BucketSpec>
 {
     auto specs = std::vector<BucketSpec> {};
     auto parts = std::vector<std::uint32_t> {};
@@ -255,9 +262,12 @@
         parts.push_back(item.part);
     const auto place = std::ranges::find(config.zones, zone, &Zone::name);
     const auto index = static_cast<std::size_t>(place - config.zones.begin());
-    for (const auto& team : config.teams)
-        specs.push_back(makeBucketSpec(teamBucketName(team.name), team.rate,
-            team.burst + tolerance.extraBurst(team.rate, team.burst), parts, index));
+    for (const auto& team : config.teams) {
+        const auto extra = tolerance.extraBurst(team.rate, team.burst);
+        auto spec = makeBucketSpec(teamBucketName(team.name), team.rate, team.burst + extra, parts, index);
+        spec.startMicroTokens = static_cast<std::int64_t>(extra * startPart * static_cast<double>(microTokensPerToken));
+        specs.push_back(spec);
+    }
     const auto region = place == config.zones.end() ? std::string {} : place->region;
     for (const auto& shift : config.shifts) {
         // Only the zones of the sending region hold a part of what may leave it.
--- a/src/citronloft/fleet/rate_limiter.cpp
+++ b/src/citronloft/fleet/rate_limiter.cpp
@@ -87,6 +87,9 @@
         const auto rate = toTokens(static_cast<double>(bucket->spec.whole.microTokensPerSecond));
         bucket->part = partOf(id, rate, toTokens(bucket->steadyDemand));
         bucket->escrow.setShare(partOfBucket(bucket->spec, bucket->part), now);
+        if (std::exchange(bucket->isNew, false))
+            bucket->escrow.grant(
+                static_cast<std::int64_t>(static_cast<double>(bucket->spec.startMicroTokens) * bucket->part), now);
     }
 }
 
@@ -155,8 +158,8 @@
         this->askFor(*bucket, now);
         this->endHopelessWaits(*bucket, now);
         this->collectSettlements(*bucket, now);
-        const auto isIdle = bucket->demand < leastDemand && bucket->steadyDemand < leastDemand && bucket->waiting.empty() && bucket->openAsks == 0
-            && !bucket->escrow.hasBorrowed();
+        const auto isIdle = bucket->demand < leastDemand && bucket->steadyDemand < leastDemand
+            && bucket->waiting.empty() && bucket->openAsks == 0 && !bucket->escrow.hasBorrowed();
         bucket->isActive = !isIdle;
     }
     std::erase_if(this->active, [](const Bucket* bucket) { return !bucket->isActive; });
--- a/src/citronloft/policy/escrow_bucket.cpp
+++ b/src/citronloft/policy/escrow_bucket.cpp
@@ -35,6 +35,13 @@
         [](std::int64_t sum, const Borrowed& loan) { return sum + loan.left; });
 }
 
+auto EscrowBucket::grant(std::int64_t amount, TimePoint now) -> void
+{
+    this->advance(now);
+    this->tokens += std::max(amount, std::int64_t { 0 });
+    this->capToShare();
+}
+
 auto EscrowBucket::take(std::int64_t amount, TimePoint now) -> bool
 {
     if (this->available(now) < amount)
--- a/src/citronloft/policy/rules_test.cpp
+++ b/src/citronloft/policy/rules_test.cpp
@@ -76,6 +76,27 @@
         EXPECT_FALSE(isAmbiguousPath(path)) << path;
 }
 
+TEST(RouteTable, HostNameNarrowsARouteAndLongestPrefixWins)
+{
+    auto config = Config {};
+    const auto add = [&](const std::string& name, const std::string& host, const std::string& prefix) {
+        auto route = Route {};
+        route.name = name;
+        route.host = host;
+        route.prefix = prefix;
+        config.routes.push_back(route);
+    };
+    add("any", "", "/a/");
+    add("own", "x.example", "/a/");
+    add("long", "", "/a/b/");
+    const auto routes = RouteTable(config);
+    EXPECT_EQ(routes.find("GET", "x.example:80", "/a/1")->name, "own");
+    EXPECT_EQ(routes.find("GET", "X.EXAMPLE", "/a/1")->name, "own");
+    EXPECT_EQ(routes.find("GET", "y.example", "/a/1")->name, "any");
+    EXPECT_EQ(routes.find("GET", "x.example", "/a/b/1")->name, "long");
+    EXPECT_EQ(routes.find("GET", "x.example", "/b/"), nullptr);
+}
+
 TEST(KeyTable, FindsTeamsByKeyAndForgetsWithdrawnOnes)
 {
     auto config = Config {};
