--- a/include/citronloft/edge/call.hpp
+++ b/include/citronloft/edge/call.hpp
@@ -53,6 +53,10 @@
     ResultCode code = ResultCode::NoTarget;
     HttpResponse response;
     Duration retryAfter {};
+    /// What decided the result, for the log; empty if no target was chosen.
+    std::string target {};
+    std::string pool {};
+    unsigned attempts = 0;
 };
 
 /// @return the request as a target or another host may see it: without key, own fields and hop-by-hop fields, with team
--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -128,9 +128,10 @@
     auto runAttempts(Call& call, boost::asio::yield_context yield) -> CallResult;
     auto runOnce(Call& call, PoolAdmission& admission, const std::string& target, bool mayRetry,
         boost::asio::yield_context yield) -> CallResult;
-    auto refuseWithoutTarget(Call& call, ResultCode refusal, boost::asio::yield_context yield) -> CallResult;
+    auto withoutTarget(Call& call, std::optional<ResultCode> doubt, ResultCode refusal, unsigned attempt,
+        boost::asio::yield_context yield) -> CallResult;
     auto readLoad(PoolAdmission& admission, const std::string& target, const TargetFields& fields) -> void;
-    auto logFailure(const HttpRequest& request, const ResultInfo& info, Duration took) -> void;
+    auto logFailure(const HttpRequest& request, const CallResult& result, Duration took) -> void;
     auto logRetry(const Call& call, ResultCode code, const std::string& target, unsigned attempt) -> void;
     auto finish(const HttpRequest& request, CallResult result, TimePoint startedAt) -> HttpResponse;
 
--- a/programs/citronloftd/main.cpp
+++ b/programs/citronloftd/main.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// @brief citronloftd, the daemon on each entry host.
 
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
@@ -164,5 +165,9 @@
         return 0;
     citronloft::openLog(settings->logPath, settings->logLevel);
     std::signal(SIGPIPE, SIG_IGN);
-    return run(*settings, values["settings"].as<std::string>());
+    const auto exitCode = run(*settings, values["settings"].as<std::string>());
+    citronloft::LogEvent(citronloft::LogLevel::Info, "host-exits").with("code", exitCode);
+    std::cout.flush();
+    // Ends at once: nothing is left to be saved, and the logging library's threads would hold the process up.
+    std::_Exit(exitCode);
 }
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -353,12 +353,15 @@
             ? admission.tryAcquire(this->option.reservedForLocal)
             : admission.acquire(this->slotRequestOf(call, wish), *call.caller, yield);
         if (slot.target.empty())
-            return doubt ? CallResult { *doubt, {}, {} } : this->refuseWithoutTarget(call, slot.refusal, yield);
+            return this->withoutTarget(call, doubt, slot.refusal, attempt, yield);
         if (!this->isStillAuthorized(call)) {
             admission.release(slot.target, TargetResult::Abandoned, {});
             return { doubt.value_or(ResultCode::KeyUnknown), {}, {} };
         }
         auto result = this->runOnce(call, admission, slot.target, attempt == 1, yield);
+        result.target = slot.target;
+        result.pool = call.pool;
+        result.attempts = attempt;
         if (result.code == ResultCode::Answered || result.code == ResultCode::CallerGone)
             return result;
         const auto outcome = resultInfo(result.code).outcome;
@@ -367,8 +370,10 @@
         // An attempt in doubt stays in doubt, whatever a later one proves of itself.
         if (outcome != Outcome::NotRun)
             doubt = result.code;
-        if (!budget.tryRetry(attempted, this->clock.now()))
-            return { doubt.value_or(result.code), {}, busyRetryAfter };
+        if (!budget.tryRetry(attempted, this->clock.now())) {
+            result.code = doubt.value_or(result.code);
+            return result;
+        }
         const auto reason = "reason=\"" + std::string { resultInfo(result.code).name } + "\"";
         this->metrics.count("citronloft_retries_total", reason);
         this->logRetry(call, result.code, slot.target, attempt);
@@ -398,11 +403,18 @@
         known->second += std::chrono::duration_cast<Duration>((latency - known->second) * latencyWeight);
 }
 
-auto Gateway::refuseWithoutTarget(Call& call, ResultCode refusal, boost::asio::yield_context yield) -> CallResult
+/// @param doubt result of an earlier attempt that may have run.
+auto Gateway::withoutTarget(Call& call, std::optional<ResultCode> doubt, ResultCode refusal, unsigned attempt,
+    boost::asio::yield_context yield) -> CallResult
 {
-    if (call.isSpilled || refusal == ResultCode::CallerGone || this->option.discoversTargets)
-        return { refusal, {}, busyRetryAfter };
-    return this->spillRouter.forward(call, refusal, yield);
+    const auto isForwarded
+        = !doubt && !call.isSpilled && refusal != ResultCode::CallerGone && !this->option.discoversTargets;
+    if (isForwarded)
+        return this->spillRouter.forward(call, refusal, yield);
+    auto result = CallResult { doubt.value_or(refusal), {}, busyRetryAfter };
+    result.pool = call.pool;
+    result.attempts = attempt - 1;
+    return result;
 }
 
 /// Requests of one object share a hash; others spread by a random one, with the same weights.
@@ -554,8 +566,9 @@
 }
 
 /// Refusals and failures are logged with what decided them; kinds that come often are bounded.
-auto Gateway::logFailure(const HttpRequest& request, const ResultInfo& info, Duration took) -> void
+auto Gateway::logFailure(const HttpRequest& request, const CallResult& result, Duration took) -> void
 {
+    const auto& info = resultInfo(result.code);
     auto leftOut = std::uint64_t { 0 };
     if (!this->logLimiter.allow(info.name, this->clock.now(), leftOut))
         return;
@@ -570,6 +583,9 @@
         .with("host", request.fields.get("Host"))
         .with("path", std::string_view { request.target }.substr(0, request.target.find('?')))
         .with("object", fields.object)
+        .with("pool", result.pool)
+        .with("target", result.target)
+        .with("attempts", result.attempts)
         .with("took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(took).count())
         .with("config", active ? active->version : 0)
         .with("config_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age).count())
@@ -599,7 +615,7 @@
     if (result.code == ResultCode::Answered)
         this->metrics.observe("citronloft_request_seconds", took);
     if (!hasAnswer)
-        this->logFailure(request, info, took);
+        this->logFailure(request, result, took);
     auto response = hasAnswer
         ? std::move(result.response)
         : this->dialect->refuse(result.code, std::chrono::ceil<std::chrono::milliseconds>(result.retryAfter));
