--- a/include/citronloft/edge/call.hpp
+++ b/include/citronloft/edge/call.hpp
@@ -20,8 +20,8 @@
 inline constexpr auto outcomeHeader = "Citronloft-Outcome";
 inline constexpr auto codeHeader = "Citronloft-Code";
 
-/// @brief Suggested time before the next try of a request that found no room.
-inline constexpr auto busyRetryAfter = std::chrono::milliseconds { 1000 };
+/// @brief Suggested time before the next try of a request that found no room: some turns of a slot later.
+inline constexpr auto busyRetryAfter = std::chrono::milliseconds { 300 };
 
 /// @brief One configuration with its tables, kept alive by the requests that use it.
 struct Snapshot {
--- a/include/citronloft/edge/http_server.hpp
+++ b/include/citronloft/edge/http_server.hpp
@@ -27,8 +27,13 @@
     /// @return whether the caller has closed its connection.
     [[nodiscard]] auto gone() const -> bool { return this->closed; }
 
-    /// @brief Sets what runs once when the caller closes its connection.
-    auto onGone(std::function<void()> action) -> void { this->action = std::move(action); }
+    /// @brief Sets what runs once when the caller closes its connection; runs it now if that has happened already.
+    auto onGone(std::function<void()> action) -> void
+    {
+        this->action = std::move(action);
+        if (this->closed && this->action)
+            this->markGone();
+    }
 
     /// @brief Called by the server when the caller has closed its connection.
     auto markGone() -> void
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -354,6 +354,11 @@
             : admission.acquire(this->slotRequestOf(call, wish), *call.caller, yield);
         if (slot.target.empty())
             return this->withoutTarget(call, doubt, slot.refusal, attempt, yield);
+        // The caller may have left while its request waited for a token.
+        if (call.caller->gone()) {
+            admission.release(slot.target, TargetResult::Abandoned, {});
+            return { ResultCode::CallerGone, {}, {} };
+        }
         if (!this->isStillAuthorized(call)) {
             admission.release(slot.target, TargetResult::Abandoned, {});
             return { doubt.value_or(ResultCode::KeyUnknown), {}, {} };
@@ -364,6 +369,9 @@
         result.attempts = attempt;
         if (result.code == ResultCode::Answered || result.code == ResultCode::CallerGone)
             return result;
+        // Another server at the address has nothing to do with the request: the route's attempts are not spent on it.
+        if (result.code == ResultCode::TargetReplaced)
+            --attempt;
         const auto outcome = resultInfo(result.code).outcome;
         const auto attempted
             = AttemptResult { outcome, call.route->idempotent, attempt, call.deadline, call.route->attempts };
--- a/src/citronloft/edge/http_test.cpp
+++ b/src/citronloft/edge/http_test.cpp
@@ -326,6 +326,18 @@
     EXPECT_TRUE(wasGone);
 }
 
+TEST(CallerContext, ActionThatIsSetAfterTheCallerLeftRunsAtOnce)
+{
+    auto caller = CallerContext {};
+    auto runs = 0;
+    caller.onGone(nullptr);
+    caller.markGone();
+    caller.onGone([&] { ++runs; });
+    EXPECT_EQ(runs, 1);
+    caller.onGone(nullptr);
+    EXPECT_EQ(runs, 1);
+}
+
 TEST_F(HttpTest, HandlerThatThrowsCostsItsOwnRequestOnly)
 {
     this->handle = [](HttpRequest& request, CallerContext&, boost::asio::yield_context) -> HttpResponse {
