--- /dev/null
+++ b/programs/citronloftd/host_status.cpp
@@ -0,0 +1,92 @@
+#include <nlohmann/json.hpp>
+
+#include "citronloft/fleet/slot_map.hpp"
+#include "host.hpp"
+
+namespace citronloft {
+
+auto Host::handleStatus(const HttpRequest& request) -> HttpResponse
+{
+    auto response = HttpResponse {};
+    const auto path = request.target.substr(0, request.target.find('?'));
+    const auto state = this->lifecycle->state();
+    response.fields.set("Content-Type", "application/json");
+    if (path == "/healthz") {
+        response = this->handleReady();
+        response.body = nlohmann::json { { "state", hostStateName(state) } }.dump();
+    } else if (path == "/status") {
+        response.body = this->statusBody();
+    } else if (path == "/metrics") {
+        const auto& rates = this->fleet->rates().stats();
+        this->metrics.set("citronloft_rate_admitted", "how=\"at-once\"", static_cast<double>(rates.admittedAtOnce));
+        this->metrics.set("citronloft_rate_admitted", "how=\"loan\"", static_cast<double>(rates.admittedAfterLoan));
+        this->metrics.set("citronloft_rate_refused", "why=\"empty\"", static_cast<double>(rates.refusedEmpty));
+        this->metrics.set("citronloft_rate_refused", "why=\"late\"", static_cast<double>(rates.refusedLate));
+        this->metrics.set("citronloft_rate_asks", "direction=\"sent\"", static_cast<double>(rates.asksSent));
+        this->metrics.set("citronloft_rate_asks", "direction=\"received\"", static_cast<double>(rates.asksReceived));
+        response.fields.set("Content-Type", "text/plain; version=0.0.4");
+        response.body = this->metrics.prometheus();
+    } else {
+        response.status = 404;
+        response.body = R"({"error":"unknown path; try /healthz, /status or /metrics"})";
+    }
+    return response;
+}
+
+auto Host::handleReady() const -> HttpResponse
+{
+    auto response = HttpResponse {};
+    response.status = this->lifecycle->state() == HostState::Serving ? 200 : 503;
+    return response;
+}
+
+auto Host::statusBody() const -> std::string
+{
+    const auto now = this->clock.now();
+    const auto& self = this->fleet->membership().self();
+    const auto& vitals = this->fleet->membership().vitals();
+    auto pools = nlohmann::json::object();
+    for (const auto& [name, admission] : this->gateway->pools()) {
+        auto targets = nlohmann::json::array();
+        for (const auto& view : admission->targets().views(now))
+            targets.push_back({ { "address", view.address }, { "state", targetStateName(view.state) },
+                { "in_flight", view.inFlight }, { "limit", view.limit } });
+        pools[name]
+            = { { "queued", admission->queued() }, { "headroom", admission->headroom() }, { "targets", targets } };
+    }
+    auto peers = nlohmann::json::array();
+    for (const auto& peer : this->fleet->membership().zonePeers())
+        peers.push_back({ { "address", formatAddress(peer.peerAddress()) }, { "state", hostStateName(peer.state) },
+            { "status", formatAddress({ peer.ip, peer.statusPort }) } });
+    auto remote = nlohmann::json::array();
+    for (const auto& host : this->fleet->membership().remoteHosts())
+        remote.push_back({ { "address", formatAddress(host.peerAddress()) }, { "zone", host.zone },
+            { "status", formatAddress({ host.ip, host.statusPort }) } });
+    auto moved = nlohmann::json::object();
+    if (const auto active = this->fleet->config().active()) {
+        for (const auto& zone : active->config.zones)
+            moved[zone.name] = this->gateway->lookups().planner().movedPart(zone.name);
+    }
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(this->fleet->config().age(now));
+    return nlohmann::json {
+        { "address", formatAddress({ self.ip, self.servicePort }) },
+        { "incarnation", std::to_string(self.incarnation) },
+        { "zone", self.zone },
+        { "state", hostStateName(this->lifecycle->state()) },
+        { "config_version", vitals.configVersion },
+        { "config_age_ms", age.count() },
+        { "steward_epoch", vitals.stewardEpoch },
+        { "known_epoch", vitals.knownEpoch },
+        { "slots", countSlots(this->fleet->shares().usable(now)) },
+        { "lease_unconfirmed", this->fleet->shares().isUnconfirmed(now) },
+        { "store_reachable", vitals.storeReachable },
+        { "in_flight", this->gateway->inFlight() },
+        { "pools", pools },
+        { "zone_peers", peers },
+        { "remote_hosts", remote },
+        { "moved_part", moved },
+    }
+        .dump();
+}
+
+} // namespace citronloft
--- a/src/citronloft/edge/http_session.cpp
+++ b/src/citronloft/edge/http_session.cpp
@@ -185,10 +185,11 @@
     answer->caller = std::make_shared<CallerContext>();
     answer->caller->caller = this->peer;
     this->pending.push_back(answer);
+    const auto isHead = request.method() == http::verb::head;
     asio::spawn(
         this->shared->context,
-        [self = this->shared_from_this(), answer, isHead = request.method() == http::verb::head,
-            plain = toPlain(std::move(request))](asio::yield_context yield) mutable {
+        [self = this->shared_from_this(), answer, isHead, plain = toPlain(std::move(request))](
+            asio::yield_context yield) mutable {
             auto response = self->callHandler(plain, *answer->caller, yield);
             answer->caller->onGone(nullptr);
             answer->asksClose = response.close;
