--- a/src/citronloft/fleet/object_mirror_test.cpp
+++ b/src/citronloft/fleet/object_mirror_test.cpp
@@ -119,6 +119,18 @@
     EXPECT_THAT(this->names(), ElementsAre("b"));
 }
 
+TEST_F(ObjectMirrorTest, MissingObjectsAreOutBeforeALeavingTargetMustBe)
+{
+    this->listed({ { "a", 1, "", false }, { "b", 2, "", false } }, 2);
+    this->feed->answer(absl::UnavailableError("down"));
+    this->tickFor(300ms);
+    this->feed->answer(ObjectBatch { { { "a", 3, "", true }, { "b", 4, "", true } }, false, 4 });
+    this->tickFor(1100ms);
+    EXPECT_EQ(this->names().size(), 2U);
+    this->tickFor(200ms);
+    EXPECT_EQ(this->names().size(), 0U);
+}
+
 TEST_F(ObjectMirrorTest, SingleObjectThatIsMissingAfterAnOutageIsGone)
 {
     auto objects = std::vector<MirroredObject> {};
