--- a/include/citronloft/fleet/object_mirror.hpp
+++ b/include/citronloft/fleet/object_mirror.hpp
@@ -58,8 +58,8 @@
     Duration pause = std::chrono::milliseconds { 150 };
     /// After the store was away, objects that are missing are kept for so long if they are many: their owners may not
     /// have written yet. Few missing ones are believed at once, since the others can do their work. Owners are back
-    /// within two seconds of the store's return, which this host notices some 0.6 s late; a target that has left meanwhile
-    /// must be out of use 2.5 s after that.
+    /// within two seconds of the store's return, which this host notices some 0.6 s late; a target that has left
+    /// meanwhile must be out of use 2.5 s after that.
     Duration returnGrace = std::chrono::milliseconds { 1200 };
     double fewMissing = 0.2;
 };
--- a/src/citronloft/fleet/host_registry_test.cpp
+++ b/src/citronloft/fleet/host_registry_test.cpp
@@ -62,8 +62,8 @@
 {
     this->run("zone_a", "10.1.0.1", 1s);
     const auto known = this->run("zone_b", "10.1.0.2", 1s);
-    EXPECT_THAT(known,
-        UnorderedElementsAre(RegisteredHost { "zone_a", "10.1.0.1" }, RegisteredHost { "zone_b", "10.1.0.2" }));
+    EXPECT_THAT(
+        known, UnorderedElementsAre(RegisteredHost { "zone_a", "10.1.0.1" }, RegisteredHost { "zone_b", "10.1.0.2" }));
 }
 
 TEST_F(HostRegistryTest, HostThatRestartsReadsTheListAtOnce)
--- a/src/citronloft/fleet/object_mirror.cpp
+++ b/src/citronloft/fleet/object_mirror.cpp
@@ -76,7 +76,9 @@
     }
     this->noteAnswer();
     if (this->listRevision < this->revision) {
-        LogEvent(LogLevel::Warning, "list-too-old").with("kind", this->option.kind).with("revision", this->listRevision);
+        LogEvent(LogLevel::Warning, "list-too-old")
+            .with("kind", this->option.kind)
+            .with("revision", this->listRevision);
         this->reading.clear();
         this->nextCallAt = this->clock.now() + this->option.pause;
         return;
--- a/src/citronloft/policy/demand_shares.cpp
+++ b/src/citronloft/policy/demand_shares.cpp
@@ -25,8 +25,8 @@
         other.demands[demand.bucket] = demand.perSecond;
 }
 
-auto DemandShares::noteZone(const std::string& zone, std::size_t hosts, const std::vector<BucketDemand>& demands,
-    TimePoint now) -> void
+auto DemandShares::noteZone(
+    const std::string& zone, std::size_t hosts, const std::vector<BucketDemand>& demands, TimePoint now) -> void
 {
     this->noteZoneHosts(zone, hosts, now);
     auto& other = this->zones[zone];
--- a/src/citronloft/policy/urgency_queue.cpp
+++ b/src/citronloft/policy/urgency_queue.cpp
@@ -119,8 +119,8 @@
     auto pushLate(QueuedRequest request, Duration serviceTime, TimePoint now) -> void
     {
         request.deadline = std::min(request.deadline - serviceTime, now + serviceTime * lateLaneTime);
-        const auto place = std::ranges::find_if(
-            this->late, [&](const QueuedRequest& other) { return other.rank > request.rank; });
+        const auto place
+            = std::ranges::find_if(this->late, [&](const QueuedRequest& other) { return other.rank > request.rank; });
         this->late.insert(place, request);
     }
 
