Mirror tests end their open calls

Cause: LeakSanitizer in the fleet tests: unanswered calls of the scripted feed held the mirror, which holds the feed. A cycle of the test alone.

--- a/src/citronloft/fleet/object_mirror_test.cpp
+++ b/src/citronloft/fleet/object_mirror_test.cpp
@@ -41,6 +41,9 @@
 
 class ObjectMirrorTest : public testing::Test {
 protected:
+    /// Calls without an answer hold the mirror, which holds the feed.
+    ~ObjectMirrorTest() override { this->feed->calls.clear(); }
+
     auto tickFor(Duration time) -> void
     {
         for (auto passed = Duration {}; passed <= time; passed += 10ms) {
