A leaving host stays open while callers still come

A stopping host closed its service at a fixed time, a look-up's life plus 1 s after its signal. Change: policy/stop_window closes when nobody has come for 1 s after the look-ups' life, at half of the stop time at the latest. Look-ups themselves do not keep a host open. The failure cases print hosts and kinds of cuts from now on.

--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -91,6 +91,9 @@
     /// @brief Reads every target's own report once; to be called about once a second.
     auto probeTargets(boost::asio::yield_context yield) -> void;
 
+    /// @return when a request other than a look-up last came; the clock's origin before the first.
+    [[nodiscard]] auto lastRequestAt() const -> TimePoint { return this->requestedAt; }
+
     /// @return requests being handled.
     [[nodiscard]] auto inFlight() const -> std::size_t { return this->running; }
 
@@ -158,6 +161,7 @@
     std::shared_ptr<const Snapshot> snapshot;
     std::map<std::string, std::unique_ptr<PoolAdmission>> admissions;
     std::size_t running = 0;
+    TimePoint requestedAt {};
 };
 
 } // namespace citronloft
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -12,12 +12,6 @@
 
 namespace {
 
-/// After the callers' cached look-ups have run out, time for requests that are on their way.
-constexpr auto stopGrace = std::chrono::milliseconds { 1000 };
-/// New requests are taken for this part of the time for a stop at most; the rest is for those that run.
-constexpr auto stopReserveDivisor = 2;
-/// A planned stop that has not drained by this part of its time ends all the same.
-constexpr auto stopOverduePercent = 95;
 constexpr auto percent = 100.0;
 /// The platform bounds moves between regions by windows of two seconds.
 constexpr auto shiftWindowsPerMinute = 30.0;
@@ -210,8 +204,7 @@
     this->leavingSince = this->clock.now();
     const auto active = this->fleet->config().active();
     const auto ttl = active ? active->config.settings.lookupTtl : std::chrono::milliseconds { 0 };
-    const auto greatestWait = this->settings.stopTime / stopReserveDivisor;
-    this->quietUntil = this->leavingSince + std::min<std::chrono::milliseconds>(ttl + stopGrace, greatestWait);
+    this->stopWindow = StopWindow({ this->leavingSince, ttl, this->settings.stopTime });
     this->fleet->leave();
     this->gateway->refreshLookups();
     this->service->closeAfterAnswers();
@@ -298,12 +291,12 @@
 
 auto Host::advanceStop(TimePoint now) -> void
 {
-    const auto isOverdue = now > this->leavingSince + this->settings.stopTime * stopOverduePercent / 100;
-    if (now >= this->quietUntil && !std::exchange(this->isClosed, true)) {
+    const auto isOverdue = this->stopWindow.isOverdue(now);
+    if (this->stopWindow.isQuiet(now, this->gateway->lastRequestAt()) && !std::exchange(this->isClosed, true)) {
         LogEvent(LogLevel::Info, "service-closed").with("in_flight", this->service->inFlight());
         this->service->closeIdle();
     }
-    if (!this->isDrained(now) && !isOverdue)
+    if (!this->isDrained() && !isOverdue)
         return;
     this->lifecycle->process(HostEvent::Drained);
     const auto drainTime = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->leavingSince);
@@ -312,11 +305,11 @@
 }
 
 /// Requests always finish; a hastened stop only leaves out the wait for cached look-ups and the hand-over.
-auto Host::isDrained(TimePoint now) const -> bool
+auto Host::isDrained() const -> bool
 {
     if (this->service->inFlight() > 0)
         return false;
-    return this->isHastened || (now >= this->quietUntil && this->fleet->hasHandedOver());
+    return this->isHastened || (this->isClosed && this->fleet->hasHandedOver());
 }
 
 auto Host::finish(int exitCode) -> void
--- a/programs/citronloftd/host.hpp
+++ b/programs/citronloftd/host.hpp
@@ -16,6 +16,7 @@
 #include "citronloft/edge/supervisor.hpp"
 #include "citronloft/edge/udp_transport.hpp"
 #include "citronloft/policy/host_lifecycle.hpp"
+#include "citronloft/policy/stop_window.hpp"
 
 namespace citronloft {
 
@@ -56,7 +57,7 @@
     auto onTick() -> void;
     auto advanceStop(TimePoint now) -> void;
     auto finish(int exitCode) -> void;
-    [[nodiscard]] auto isDrained(TimePoint now) const -> bool;
+    [[nodiscard]] auto isDrained() const -> bool;
     [[nodiscard]] auto handleReady() const -> HttpResponse;
     auto handleStatus(const HttpRequest& request) -> HttpResponse;
     [[nodiscard]] auto statusBody() const -> std::string;
@@ -78,7 +79,7 @@
     TimePoint nextRetryShareAt {};
     std::unique_ptr<Supervisor> supervisor;
     TimePoint leavingSince {};
-    TimePoint quietUntil {};
+    StopWindow stopWindow { {} };
     bool isHastened = false;
     /// A stopping host takes no new connections any more.
     bool isClosed = false;
--- a/programs/standins/load.cpp
+++ b/programs/standins/load.cpp
@@ -40,6 +40,8 @@
     bool useIdempotencyKeys = false;
     /// Every payment is submitted through two hosts at the same moment, with one idempotency key.
     bool doublePayments = false;
+    /// For how long callers use a look-up after its time has run out.
+    std::chrono::milliseconds lookupOveruse {};
     std::string historyPath;
     std::string jsonPath;
     std::uint64_t seed = 1;
@@ -175,7 +177,8 @@
             cached.hosts.clear();
             for (const auto& item : body["hosts"])
                 cached.hosts.push_back(*parseAddress(item["address"].get<std::string>()));
-            cached.expiresAt = this->clock.now() + std::chrono::milliseconds { body["ttl_ms"].get<std::int64_t>() };
+            cached.expiresAt = this->clock.now() + std::chrono::milliseconds { body["ttl_ms"].get<std::int64_t>() }
+                + this->option.lookupOveruse;
             return;
         }
         ++this->failedLookups;
@@ -303,6 +306,7 @@
     auto lookups = std::vector<std::string> {};
     auto teamsPath = std::string {};
     auto seconds = 5.0;
+    auto overuseMs = 0;
     auto options = po::options_description("standin_load");
     options.add_options()("lookup", po::value(&lookups)->multitoken(), "entry hosts to ask first")(
         "client", po::value(&option.clients)->multitoken(), "IP numbers that callers say they have")("teams",
@@ -311,6 +315,7 @@
         "read-path", po::value(&option.readPath)->default_value("/plans/1"), "path of reads")(
         "payment-path", po::value(&option.paymentPath)->default_value("/payments"), "path of payments")(
         "idempotency-keys", po::bool_switch(&option.useIdempotencyKeys), "send an idempotency key with payments")(
+        "lookup-overuse-ms", po::value(&overuseMs), "use look-ups for so long after they ran out")(
         "double-payments", po::bool_switch(&option.doublePayments), "submit every payment twice at the same moment")(
         "history", po::value(&option.historyPath), "file of JSON lines")(
         "json", po::value(&option.jsonPath), "file for the results")("seed", po::value(&option.seed), "random seed");
@@ -318,6 +323,7 @@
     po::store(po::parse_command_line(argc, argv, options), values);
     po::notify(values);
     option.duration = std::chrono::milliseconds { static_cast<std::int64_t>(seconds * 1000) };
+    option.lookupOveruse = std::chrono::milliseconds { overuseMs };
     option.teams = readTeams(teamsPath);
     for (const auto& text : lookups)
         option.lookups.push_back(*parseAddress(text));
--- a/scripts/failure-test.sh
+++ b/scripts/failure-test.sh
@@ -68,6 +68,14 @@
 code_count() { sed -n '/"codes"/,/}/p' "$FLEET_DIR/load.json" | grep -o "\"$1\": [0-9]*" | cut -d' ' -f2 | grep . || echo 0; }
 cut_count() { sed -n '/"codes"/,/}/p' "$FLEET_DIR/load.json" | grep -o '"cut-[0-9]": [0-9]*' | awk '{ s += $2 } END { print s + 0 }'; }
 
+# Names the hosts and kinds of the cuts, if there are any.
+check_no_cut() {
+  check "no request was cut" [ "$(cut_count)" -eq 0 ]
+  grep -h '"code":"cut-' "$FLEET_DIR/callers.jsonl" | grep -o '"code":"cut-[0-9]"\|"host":"[0-9.:]*"' | paste - - |
+    sort | uniq -c | sed 's/^/  /'
+  [ "$(cut_count)" -eq 0 ] || grep -hE 'event=(host-leaving|service-closed|host-drained|steward-)' "$FLEET_DIR"/host-*.log
+}
+
 store_control() { curl -s "http://$fleet_store/control?$1" >/dev/null; }
 target_control() { curl -s "http://$1/control?$2" >/dev/null; }
 
@@ -155,10 +163,21 @@
   check "the stopped host exits with 0" wait "$pid"
   end_load
   judge
-  check "no request was cut" [ "$(cut_count)" -eq 0 ]
+  check_no_cut
   grep -o 'event=host-drained.*' "$FLEET_DIR/host-2.1.log" | sed 's/^/  /'
 }
 
+# Callers learn of a stop late when the zone's steward stops too, so look-ups outlive their time here.
+case_stop_host_late_callers() {
+  begin_load 14 --lookup-overuse-ms 4000
+  sleep 2
+  kill -TERM "${HOST_PIDS[5.1]}"
+  check "the stopped host exits with 0" wait "${HOST_PIDS[5.1]}"
+  end_load
+  judge
+  check_no_cut
+}
+
 case_stop_half_zone() {
   begin_load 12
   sleep 2
@@ -167,7 +186,7 @@
   check "the second stopped host exits with 0" wait "${HOST_PIDS[5.2]}"
   end_load
   judge
-  check "no request was cut" [ "$(cut_count)" -eq 0 ]
+  check_no_cut
 }
 
 case_stop_host_without_store() {
@@ -179,7 +198,7 @@
   check "the stopped host exits with 0" wait "$pid"
   end_load
   judge
-  check "no request was cut" [ "$(cut_count)" -eq 0 ]
+  check_no_cut
   grep -o 'event=host-drained.*' "$FLEET_DIR/host-2.1.log" | sed 's/^/  /'
 }
 
@@ -194,7 +213,7 @@
   check "it goes on serving" bash -c "curl -s 'http://$host/citronloft/v1/lookup' | grep -q hosts"
   end_load
   judge
-  check "no request was cut" [ "$(cut_count)" -eq 0 ]
+  check_no_cut
 }
 
 case_drain_target() {
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -127,6 +127,7 @@
             return { ResultCode::ShiftCapReached, {}, busyRetryAfter };
         return { ResultCode::LookupAnswered, std::move(answer), {} };
     }
+    this->requestedAt = this->clock.now();
     if (!this->snapshot)
         return { ResultCode::NoConfiguration, {}, busyRetryAfter };
     if (request.method == "CONNECT" || request.method == "TRACE")
@@ -138,7 +139,7 @@
     call.request = &request;
     call.caller = &caller;
     call.fields = this->dialect->readRequest(request);
-    call.receivedAt = this->clock.now();
+    call.receivedAt = this->requestedAt;
     call.isSpilled = request.fields.has(spillHeader);
     return call.isSpilled ? this->handleSpilled(call, yield) : this->handleCaller(call, yield);
 }
--- /dev/null
+++ b/src/citronloft/policy/stop_window_test.cpp
@@ -0,0 +1,53 @@
+#include "citronloft/policy/stop_window.hpp"
+
+#include <gtest/gtest.h>
+
+namespace citronloft {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr auto start = TimePoint { std::chrono::hours { 1 } };
+
+auto makeWindow() -> StopWindow { return StopWindow({ start, milliseconds { 2000 }, milliseconds { 20'000 } }); }
+
+TEST(StopWindowTest, StaysOpenUntilCachedLookupsHaveRunOut)
+{
+    const auto window = makeWindow();
+    EXPECT_FALSE(window.isQuiet(start + milliseconds { 2900 }, start));
+    EXPECT_TRUE(window.isQuiet(start + milliseconds { 3000 }, start));
+}
+
+TEST(StopWindowTest, StaysOpenForCallersThatStillComeAfterThat)
+{
+    const auto window = makeWindow();
+    // A caller with a late look-up sends a request each 500 ms until 5 s after the stop began.
+    for (auto at = milliseconds { 0 }; at <= milliseconds { 5000 }; at += milliseconds { 500 })
+        EXPECT_FALSE(window.isQuiet(start + at + milliseconds { 400 }, start + at)) << at.count();
+    EXPECT_TRUE(window.isQuiet(start + milliseconds { 6000 }, start + milliseconds { 5000 }));
+}
+
+TEST(StopWindowTest, ClosesAtHalfOfTheTimeWhoeverComes)
+{
+    const auto window = makeWindow();
+    EXPECT_FALSE(window.isQuiet(start + milliseconds { 9999 }, start + milliseconds { 9990 }));
+    EXPECT_TRUE(window.isQuiet(start + milliseconds { 10'000 }, start + milliseconds { 9990 }));
+}
+
+TEST(StopWindowTest, ShortStopTimeBoundsTheWaitForLookups)
+{
+    const auto window = StopWindow({ start, milliseconds { 2000 }, milliseconds { 1000 } });
+    EXPECT_TRUE(window.isQuiet(start + milliseconds { 500 }, start + milliseconds { 499 }));
+}
+
+TEST(StopWindowTest, IsOverdueNearTheEndOfItsTime)
+{
+    const auto window = makeWindow();
+    EXPECT_FALSE(window.isOverdue(start + milliseconds { 19'000 }));
+    EXPECT_TRUE(window.isOverdue(start + milliseconds { 19'001 }));
+}
+
+} // namespace
+
+} // namespace citronloft
