Mirrors pause longer between watches while a burst of events lasts

Ruled out: longer watches (they wait 30 s already). Change: the pause doubles up to 600 ms while watches end within 2 s; the first event of a burst is taken at once as before.

--- a/include/citronloft/fleet/object_mirror.hpp
+++ b/include/citronloft/fleet/object_mirror.hpp
@@ -56,6 +56,11 @@
     Duration watchWait = std::chrono::seconds { 30 };
     /// Pause between two watches, so that the events of a burst arrive in one call.
     Duration pause = std::chrono::milliseconds { 150 };
+    /// The pause doubles up to this while events keep coming: half a second more than the first of a burst is little
+    /// against the 2.5 s in which a leaving target must be out of use.
+    Duration greatestPause = std::chrono::milliseconds { 600 };
+    /// A watch that waited for so long ends a burst.
+    Duration quietTime = std::chrono::milliseconds { 2000 };
     /// After the store was away, objects that are missing are kept for so long if they are many: their owners may not
     /// have written yet. Few missing ones are believed at once, since the others can do their work. Owners are back
     /// within two seconds of the store's return, which this host notices some 0.6 s late; a target that has left
@@ -83,6 +88,7 @@
 
 private:
     auto startList(const std::string& after) -> void;
+    auto lengthenPause(TimePoint now) -> void;
     auto startWatch() -> void;
     auto takeList(absl::StatusOr<ObjectBatch> batch) -> void;
     auto takeEvents(absl::StatusOr<ObjectBatch> batch) -> void;
@@ -107,6 +113,9 @@
     bool mustList = true;
     bool isCalling = false;
     TimePoint nextCallAt {};
+    /// When the present watch began, and the pause behind it.
+    TimePoint watchedAt {};
+    Duration nextPause {};
 };
 
 } // namespace citronloft
--- a/src/citronloft/fleet/object_mirror.cpp
+++ b/src/citronloft/fleet/object_mirror.cpp
@@ -48,6 +48,7 @@
 auto ObjectMirror::startWatch() -> void
 {
     this->isCalling = true;
+    this->watchedAt = this->clock.now();
     this->feed->watch(
         this->option.kind, this->revision, this->option.watchWait, [self = this->shared_from_this()](auto batch) {
             self->isCalling = false;
@@ -139,11 +140,20 @@
     }
     hasChanged = this->removeOrKeep(deleted, now) || hasChanged;
     this->revision = std::max(this->revision, batch->revision);
-    this->nextCallAt = now + this->option.pause;
+    this->lengthenPause(now);
+    this->nextCallAt = now + this->nextPause;
     if (hasChanged)
         this->changed(this->known);
 }
 
+/// The pause grows from one watch to the next while their events belong to one burst.
+auto ObjectMirror::lengthenPause(TimePoint now) -> void
+{
+    const auto isBurst = now - this->watchedAt < this->option.quietTime;
+    this->nextPause = isBurst ? std::clamp(this->nextPause * 2, this->option.pause, this->option.greatestPause)
+                              : this->option.pause;
+}
+
 /// @return whether an object was removed at once.
 auto ObjectMirror::removeOrKeep(const std::vector<std::string>& names, TimePoint now) -> bool
 {
--- a/src/citronloft/fleet/object_mirror_test.cpp
+++ b/src/citronloft/fleet/object_mirror_test.cpp
@@ -101,6 +101,25 @@
     EXPECT_EQ(this->mirror->objects().at("a").body, "new");
 }
 
+/// Load pattern: a fleet of targets starts or renews; each event alone would cost every host a call.
+TEST_F(ObjectMirrorTest, EventsOfALongBurstAreTakenInFewCalls)
+{
+    this->listed({ { "a", 1, "", false } }, 1);
+    auto watches = 0;
+    for (auto revision = std::uint64_t { 2 }; revision < 102; ++revision) {
+        this->tickFor(50ms);
+        if (this->feed->calls.empty())
+            continue;
+        ++watches;
+        this->feed->answer(ObjectBatch { { { "a", revision, "", false } }, false, revision });
+    }
+    EXPECT_LE(watches, 14) << "in six seconds of events";
+    this->tickFor(5s);
+    this->feed->answer(ObjectBatch { { { "a", 200, "", false } }, false, 200 });
+    this->tickFor(200ms);
+    EXPECT_EQ(this->feed->calls.size(), 1U) << "after a quiet time the first pause is short again";
+}
+
 TEST_F(ObjectMirrorTest, DeletionIsBelievedAtOnceWhileTheStoreIsThere)
 {
     this->listed({ { "a", 1, "", false }, { "b", 2, "", false } }, 2);
