--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -6,6 +6,7 @@
 
 #include "citronloft/base/digest.hpp"
 #include "citronloft/base/log.hpp"
+#include "citronloft/edge/waiter.hpp"
 
 namespace citronloft {
 
--- /dev/null
+++ b/src/citronloft/policy/slot_allocator.cpp
@@ -0,0 +1,114 @@
+#include "citronloft/policy/slot_allocator.hpp"
+
+#include <algorithm>
+
+namespace citronloft {
+
+namespace {
+
+auto refusalOf(Admission admission) -> ResultCode
+{
+    return admission == Admission::QueueFull ? ResultCode::QueueFull : ResultCode::DeadlineTooShort;
+}
+
+} // namespace
+
+SlotAllocator::SlotAllocator(std::unique_ptr<RequestQueue> queue, TargetPool targets)
+    : queue(std::move(queue))
+    , pool(std::move(targets))
+{
+}
+
+auto SlotAllocator::acquire(const SlotRequest& request, TimePoint now, Done done) -> std::uint64_t
+{
+    if (!this->pool.isUsable(now)) {
+        done({ {}, ResultCode::NoTarget });
+        return 0;
+    }
+    // Requests that wait for other targets do not hold up one whose target is free.
+    if (this->queue->size() == 0 || request.wish.object) {
+        if (const auto target = this->pool.acquireFor(request.wish, now)) {
+            done({ *target, ResultCode::Answered });
+            return 0;
+        }
+    }
+    const auto id = this->nextId++;
+    const auto queued
+        = QueuedRequest { id, request.team, request.weight, request.deadline, request.rank, request.usefulUntil };
+    const auto admission = this->queue->offer(queued, this->pool.serviceTime(), this->concurrency(now), now);
+    if (admission != Admission::Queued) {
+        done({ {}, refusalOf(admission) });
+        return 0;
+    }
+    this->waiting.emplace(id, Waiting { request.wish, std::move(done) });
+    return id;
+}
+
+auto SlotAllocator::cancel(std::uint64_t id) -> void
+{
+    this->queue->remove(id);
+    this->waiting.erase(id);
+}
+
+auto SlotAllocator::tryAcquire(double reservedPart, TimePoint now) -> SlotDecision
+{
+    const auto reserved = static_cast<double>(this->pool.totalSlots(now)) * reservedPart;
+    if (this->queue->size() > 0 || static_cast<double>(this->pool.freeSlots(now)) <= reserved)
+        return { {}, ResultCode::SpillRefused };
+    const auto target = this->pool.acquireFor({}, now);
+    return target ? SlotDecision { *target, ResultCode::Answered } : SlotDecision { {}, ResultCode::SpillRefused };
+}
+
+auto SlotAllocator::release(const std::string& target, TargetResult result, Duration latency, TimePoint now) -> void
+{
+    this->pool.release(target, result, latency, now);
+    this->dispatch(now);
+}
+
+auto SlotAllocator::tick(TimePoint now) -> void
+{
+    for (const auto& late : this->queue->removeLate(this->pool.serviceTime(), now))
+        this->end(late.id, { {}, ResultCode::DeadlineTooShort });
+    this->dispatch(now);
+}
+
+auto SlotAllocator::headroom(TimePoint now) const -> std::uint32_t
+{
+    return this->queue->size() > 0 ? 0 : this->pool.freeSlots(now);
+}
+
+auto SlotAllocator::dispatch(TimePoint now) -> void
+{
+    while (this->queue->size() > 0 && this->pool.hasRoom(now)) {
+        auto taken = std::uint64_t { 0 };
+        auto target = std::optional<std::string> {};
+        const auto isTaken = this->queue->takeFirst([&](const QueuedRequest& request) {
+            taken = request.id;
+            target = this->pool.acquireFor(this->waiting.at(request.id).wish, now);
+            return target.has_value();
+        });
+        if (!isTaken)
+            return;
+        // A queue that keeps its order gives a request up for which the room is none.
+        this->end(taken, target ? SlotDecision { *target, ResultCode::Answered }
+                                : SlotDecision { {}, ResultCode::NoTarget });
+    }
+}
+
+auto SlotAllocator::end(std::uint64_t id, const SlotDecision& decision) -> void
+{
+    const auto found = this->waiting.find(id);
+    if (found == this->waiting.end())
+        return;
+    const auto done = std::move(found->second.done);
+    this->waiting.erase(found);
+    done(decision);
+}
+
+/// Requests of this host that run at the same time while others wait.
+auto SlotAllocator::concurrency(TimePoint now) const -> std::size_t
+{
+    return std::min<std::size_t>(this->pool.totalSlots(now), std::max<std::size_t>(this->pool.inFlight(), 1));
+}
+
+} // namespace citronloft
