A model of the served system and citronloft_experiment: load patterns, strategies, tables, plots

Change: module model (virtual time, the product's own SlotAllocator, TargetPool, queues and zone shares), program citronloft_experiment with eleven patterns and twelve strategies, plots by cairo.

--- a/include/citronloft/policy/target_pool.hpp
+++ b/include/citronloft/policy/target_pool.hpp
@@ -51,6 +51,9 @@
     double queueAtTarget = 0.35;
 };
 
+/// @return limits for targets that discovery finds and that tell their load with each answer.
+auto discoveredPoolOption() -> TargetPoolOption;
+
 /// @brief How a request ended at its target, as far as the target's health is concerned.
 enum class TargetResult : std::uint8_t {
     Answered,
--- /dev/null
+++ b/programs/citronloft_experiment/main.cpp
@@ -0,0 +1,236 @@
+/// @file
+/// @brief Tries strategies on load patterns in virtual time.
+
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+
+#include <boost/program_options.hpp>
+#include <nlohmann/json.hpp>
+
+#include "plot.hpp"
+
+namespace citronloft {
+
+namespace {
+
+constexpr auto exitBadArguments = 2;
+constexpr auto exitFailed = 1;
+
+struct ExperimentArguments {
+    std::vector<std::string> patterns;
+    std::vector<std::string> strategies;
+    std::uint64_t firstSeed = 1;
+    std::uint64_t seeds = 3;
+    std::string svgPath;
+    std::string jsonPath;
+    bool showsParts = false;
+};
+
+/// Sums of several seeds.
+struct Summary {
+    double earned = 0;
+    double worstKind = 0;
+    double worstZone = 0;
+    double inObjective = 0;
+    double refused = 0;
+    double failed = 0;
+    double p99Ms = 0;
+    double warm = 0;
+    double busiest = 0;
+};
+
+auto worstOf(const std::map<std::string, Tally>& tallies) -> double
+{
+    auto worst = 1.0;
+    for (const auto& [name, tally] : tallies)
+        worst = std::min(worst, tally.earned());
+    return worst;
+}
+
+auto part(std::uint64_t count, const Tally& tally) -> double
+{
+    return tally.asked == 0 ? 0 : static_cast<double>(count) / static_cast<double>(tally.asked);
+}
+
+auto summarize(const std::vector<ExperimentResult>& results) -> Summary
+{
+    auto sum = Summary {};
+    const auto count = static_cast<double>(results.size());
+    for (const auto& result : results) {
+        sum.earned += result.all.earned() / count;
+        sum.worstKind += worstOf(result.byKind) / count;
+        sum.worstZone += worstOf(result.byZone) / count;
+        sum.inObjective += part(result.all.inObjective, result.all) / count;
+        sum.refused += part(result.all.refused, result.all) / count;
+        sum.failed += part(result.all.failed, result.all) / count;
+        sum.p99Ms += result.all.quantileMs(0.99) / count;
+        sum.warm += result.warmPart / count;
+        sum.busiest += result.busiest / count;
+    }
+    return sum;
+}
+
+auto toJson(const Tally& tally) -> nlohmann::json
+{
+    return { { "asked", tally.asked }, { "in_objective", tally.inObjective }, { "late", tally.late },
+        { "refused", tally.refused }, { "failed", tally.failed }, { "earned", tally.earned() },
+        { "p50_ms", tally.quantileMs(0.5) }, { "p99_ms", tally.quantileMs(0.99) } };
+}
+
+auto toJson(const std::map<std::string, Tally>& tallies) -> nlohmann::json
+{
+    auto json = nlohmann::json::object();
+    for (const auto& [name, tally] : tallies)
+        json[name] = toJson(tally);
+    return json;
+}
+
+auto toJson(const ExperimentResult& result) -> nlohmann::json
+{
+    return { { "pattern", result.pattern }, { "strategy", result.strategy }, { "seed", result.seed },
+        { "all", toJson(result.all) }, { "kinds", toJson(result.byKind) }, { "zones", toJson(result.byZone) },
+        { "teams", toJson(result.byTeam) }, { "warm", result.warmPart }, { "busiest_by_mean", result.busiest },
+        { "refused_attempts", result.refusals } };
+}
+
+auto printRow(const std::string& name, const Summary& row) -> void
+{
+    std::cout << std::left << std::setw(16) << name << std::right << std::fixed << std::setprecision(3);
+    for (const auto value :
+        { row.earned, row.worstKind, row.worstZone, row.inObjective, row.refused, row.failed, row.warm, row.busiest })
+        std::cout << std::setw(9) << value;
+    std::cout << std::setw(9) << std::setprecision(0) << row.p99Ms << "\n";
+}
+
+auto printParts(const std::string& of, const std::map<std::string, Tally>& tallies) -> void
+{
+    for (const auto& [name, tally] : tallies) {
+        std::cout << "    " << std::left << std::setw(6) << of << std::setw(10) << name << std::right << std::fixed
+                  << std::setprecision(3) << " earned " << tally.earned() << ", in objective "
+                  << part(tally.inObjective, tally) << ", refused " << part(tally.refused, tally) << ", p99 ms "
+                  << std::setprecision(0) << tally.quantileMs(0.99) << "\n";
+    }
+}
+
+auto runPattern(const LoadPattern& pattern, const ExperimentArguments& arguments, nlohmann::json& json) -> absl::Status
+{
+    std::cout << "\n" << pattern.name << ": " << pattern.about << "\n";
+    std::cout << "strategy           earned     kind     zone   in obj  refused   failed     warm  busiest   p99 ms\n";
+    auto plotted = std::vector<ExperimentResult> {};
+    for (const auto& name : arguments.strategies) {
+        auto results = std::vector<ExperimentResult> {};
+        for (auto seed = arguments.firstSeed; seed < arguments.firstSeed + arguments.seeds; ++seed)
+            results.push_back(runExperiment(pattern, *findStrategy(name), seed));
+        printRow(name, summarize(results));
+        if (arguments.showsParts) {
+            printParts("kind", results.front().byKind);
+            printParts("zone", results.front().byZone);
+            printParts("team", results.front().byTeam);
+        }
+        for (const auto& result : results)
+            json.push_back(toJson(result));
+        plotted.push_back(std::move(results.front()));
+    }
+    if (arguments.svgPath.empty())
+        return absl::OkStatus();
+    return plotBySecond(plotted, arguments.svgPath + "-" + std::string { pattern.name } + ".svg");
+}
+
+auto listNames() -> void
+{
+    std::cout << "patterns:\n";
+    for (const auto& pattern : loadPatterns())
+        std::cout << "  " << std::left << std::setw(16) << pattern.name << pattern.about << "\n";
+    std::cout << "strategies:\n";
+    for (const auto& strategy : strategies())
+        std::cout << "  " << std::left << std::setw(16) << strategy.name << strategy.about << "\n";
+}
+
+/// Fills in all names where none was given.
+/// @return the first unknown name, or an empty string.
+auto completeNames(ExperimentArguments& arguments) -> std::string
+{
+    if (arguments.patterns.empty()) {
+        for (const auto& pattern : loadPatterns())
+            arguments.patterns.emplace_back(pattern.name);
+    }
+    if (arguments.strategies.empty()) {
+        for (const auto& strategy : strategies())
+            arguments.strategies.emplace_back(strategy.name);
+    }
+    for (const auto& name : arguments.patterns) {
+        if (findLoadPattern(name) == nullptr)
+            return name;
+    }
+    for (const auto& name : arguments.strategies) {
+        if (findStrategy(name) == nullptr)
+            return name;
+    }
+    return {};
+}
+
+auto runAll(const ExperimentArguments& arguments) -> int
+{
+    std::cout << "seeds " << arguments.firstSeed << " to " << arguments.firstSeed + arguments.seeds - 1 << "\n";
+    auto json = nlohmann::json::array();
+    for (const auto& name : arguments.patterns) {
+        if (const auto status = runPattern(*findLoadPattern(name), arguments, json); !status.ok()) {
+            std::cerr << "citronloft_experiment: " << status.message() << "\n";
+            return exitFailed;
+        }
+    }
+    if (arguments.jsonPath.empty())
+        return 0;
+    auto file = std::ofstream(arguments.jsonPath);
+    file << json.dump(2) << "\n";
+    if (file.good())
+        return 0;
+    std::cerr << "citronloft_experiment: can't write " << arguments.jsonPath << "\n";
+    return exitFailed;
+}
+
+} // namespace
+
+} // namespace citronloft
+
+auto main(int argc, char** argv) -> int
+{
+    namespace po = boost::program_options;
+    using namespace citronloft;
+    auto arguments = ExperimentArguments {};
+    auto options = po::options_description("citronloft_experiment [OPTIONS]: tries strategies on load patterns");
+    options.add_options()("help", "this text")("list", "name all patterns and strategies")(
+        "pattern", po::value(&arguments.patterns)->multitoken(), "patterns to run; default: all")("strategy",
+        po::value(&arguments.strategies)->multitoken(),
+        "strategies to run; default: all")("seed", po::value(&arguments.firstSeed)->default_value(1), "first seed")(
+        "seeds", po::value(&arguments.seeds)->default_value(3), "seeds of each run")(
+        "parts", po::bool_switch(&arguments.showsParts), "show kinds, zones and teams of the first seed")(
+        "svg", po::value(&arguments.svgPath), "start of the names of the plots, one a pattern")(
+        "json", po::value(&arguments.jsonPath), "file for all results");
+    try {
+        auto values = po::variables_map {};
+        po::store(po::parse_command_line(argc, argv, options), values);
+        po::notify(values);
+        if (values.contains("help")) {
+            std::cout << options;
+            return 0;
+        }
+        if (values.contains("list")) {
+            listNames();
+            return 0;
+        }
+    } catch (const po::error& error) {
+        std::cerr << "citronloft_experiment: " << error.what() << "\n";
+        return exitBadArguments;
+    }
+    if (const auto unknown = completeNames(arguments); !unknown.empty()) {
+        std::cerr << "citronloft_experiment: no pattern or strategy is called " << unknown << "; see --list\n";
+        return exitBadArguments;
+    }
+    if (arguments.seeds == 0) {
+        std::cerr << "citronloft_experiment: --seeds must be 1 or more\n";
+        return exitBadArguments;
+    }
+    return runAll(arguments);
+}
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -27,8 +27,6 @@
 /// Twice the longest round trip between two regions that a deployment names, 110 ms, and some time for a busy target.
 constexpr auto targetConnectTimeout = std::chrono::milliseconds { 400 };
 constexpr auto targetSilenceTimeout = std::chrono::milliseconds { 1000 };
-/// A target that shed counts as full for about the time in which one of its slots becomes free.
-constexpr auto shedPause = std::chrono::milliseconds { 150 };
 /// Hosts of another zone that a summary names; all of the largest zone of today.
 constexpr auto hostsPerSummary = std::size_t { 24 };
 constexpr auto exitClean = 0;
@@ -136,13 +134,7 @@
     option.limitsFirstAttempt = false;
     option.client.connectTimeout = targetConnectTimeout;
     option.client.acknowledgeTimeout = targetSilenceTimeout;
-    option.targets.returnsWithoutProbe = true;
-    option.targets.rampTime = std::chrono::milliseconds { 1 };
-    option.targets.overcommit = 1;
-    option.targets.shedBackoff = 1;
-    option.targets.distrustAfterShed = shedPause;
-    option.targets.passOverLoad = 1.5;
-    option.targets.queueAtTarget = 0.8;
+    option.targets = discoveredPoolOption();
     return option;
 }
 
--- /dev/null
+++ b/src/citronloft/model/load_pattern.cpp
@@ -0,0 +1,78 @@
+#include "citronloft/model/load_pattern.hpp"
+
+#include <algorithm>
+
+namespace citronloft {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Kinds of a council's plans: long runs against short objectives, payments worth twice a read.
+auto planKinds() -> std::vector<RequestKind>
+{
+    return {
+        { "pay", 0.2, 0, milliseconds { 250 }, milliseconds { 600 }, milliseconds { 5000 }, 2, 0.4, 1 },
+        { "read", 0.6, 1, milliseconds { 190 }, milliseconds { 500 }, milliseconds { 4000 }, 1, 0.2, 1 },
+        { "report", 0.2, 2, milliseconds { 450 }, milliseconds { 1200 }, milliseconds { 8000 }, 1, 0.2, 1 },
+    };
+}
+
+auto makePattern(std::string_view name, std::string_view about) -> LoadPattern
+{
+    auto pattern = LoadPattern {};
+    pattern.name = name;
+    pattern.about = about;
+    pattern.kinds = planKinds();
+    pattern.troubleSpan = { seconds { 6 }, seconds { 16 } };
+    pattern.surgeSpan = { seconds { 6 }, seconds { 12 } };
+    return pattern;
+}
+
+auto makePatterns() -> std::vector<LoadPattern>
+{
+    auto list = std::vector<LoadPattern> {};
+    list.push_back(makePattern("steady", "0.6 of what warm targets can run"));
+    list.push_back(makePattern("surge", "2.2 times the load for 6 s, more than the targets can run"));
+    list.back().surge = 2.2;
+    list.push_back(makePattern("insistent", "the same surge, and half of the callers come again at once"));
+    list.back().surge = 2.2;
+    list.back().insistent = 0.5;
+    list.push_back(makePattern("hot-object", "one object in five requests"));
+    list.back().hotObject = 0.2;
+    list.push_back(makePattern("hot-team", "one team sends eight times as much, beyond what the targets can run"));
+    list.back().hotTeam = 8;
+    list.push_back(makePattern("uneven-zones", "zones with 11, 5 and 2 targets, callers spread evenly"));
+    list.back().targetsByZone = { 11, 5, 2 };
+    list.push_back(makePattern("slow-targets", "a fifth of the targets four times as slow for 10 s"));
+    list.back().slowTargets = 0.2;
+    list.back().slowness = 4;
+    list.push_back(makePattern("grey-targets", "a sixth of the targets fails half of its requests for 10 s"));
+    list.back().greyTargets = 1.0 / 6;
+    list.back().greyFailures = 0.5;
+    list.push_back(makePattern("lost-targets", "a third of the targets is gone for 10 s and comes back empty"));
+    list.back().lostTargets = 1.0 / 3;
+    list.push_back(makePattern("cold-start", "targets that hold no object at the start"));
+    list.back().startsWarm = false;
+    list.push_back(makePattern("late-reports", "targets' reports are a second old"));
+    list.back().reportLag = seconds { 1 };
+    list.back().utilisation = 0.8;
+    return list;
+}
+
+} // namespace
+
+auto loadPatterns() -> std::span<const LoadPattern>
+{
+    static const auto patterns = makePatterns();
+    return patterns;
+}
+
+auto findLoadPattern(std::string_view name) -> const LoadPattern*
+{
+    const auto found = std::ranges::find(loadPatterns(), name, &LoadPattern::name);
+    return found == loadPatterns().end() ? nullptr : &*found;
+}
+
+} // namespace citronloft
--- /dev/null
+++ b/src/citronloft/model/model_host.hpp
@@ -0,0 +1,93 @@
+/// @file
+/// @brief An entry host in virtual time: the product's decisions without its sockets.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "citronloft/model/event_queue.hpp"
+#include "citronloft/model/modelled_target.hpp"
+#include "citronloft/model/strategy.hpp"
+#include "citronloft/policy/slot_allocator.hpp"
+
+namespace citronloft {
+
+/// @brief A target and its way from one host.
+struct ReachableTarget {
+    LiveTarget live;
+    ModelledTarget* target = nullptr;
+    Duration oneWay {};
+};
+
+/// @brief One attempt of a caller.
+struct ModelRequest {
+    const RequestKind* kind = nullptr;
+    std::uint64_t object = 0;
+    std::size_t team = 0;
+    /// When the caller's first attempt began.
+    TimePoint firstAt;
+    TimePoint deadline;
+};
+
+/// @brief How an attempt ended.
+struct ModelOutcome {
+    TaskResult result = TaskResult::Answered;
+    bool wasRefused = false;
+    bool wasWarm = false;
+    Duration retryAfter {};
+};
+
+/// @brief One host.
+class ModelHost {
+public:
+    using Done = std::function<void(const ModelOutcome&)>;
+
+    ModelHost(EventQueue& events, const Strategy& strategy, const LoadPattern& pattern,
+        std::vector<ReachableTarget> targets, std::uint64_t seed);
+
+    /// @brief Takes a request in.
+    auto handle(const ModelRequest& request, Done done) -> void;
+
+    /// @brief Puts the targets in force that discovery shows.
+    auto setTargets(std::vector<ReachableTarget> changed) -> void;
+
+    auto tick() -> void { this->slots.tick(this->events.now()); }
+
+    /// @return what the host tells the others of its zone.
+    auto takeLoads() -> std::vector<TargetLoad> { return this->slots.targets().takeLoads(); }
+
+    auto noteLoads(std::uint64_t sender, const std::vector<TargetLoad>& loads) -> void
+    {
+        this->slots.targets().notePeer(sender, loads, this->events.now());
+    }
+
+private:
+    /// A request on its way through attempts.
+    struct Running {
+        ModelRequest request;
+        TargetWish wish;
+        unsigned attempts = 0;
+        Done done;
+    };
+
+    using RunningPointer = std::shared_ptr<Running>;
+
+    auto attempt(const RunningPointer& running) -> void;
+    auto send(const RunningPointer& running, const std::string& key) -> void;
+    auto finish(const RunningPointer& running, const std::string& key, const TaskAnswer& answer, Duration latency)
+        -> void;
+    auto report(const std::string& key, std::uint32_t inFlight) -> void;
+    [[nodiscard]] auto find(const std::string& key) const -> const ReachableTarget*;
+    auto drawRetryAfter() -> Duration;
+
+    EventQueue& events;
+    const Strategy& strategy;
+    const LoadPattern& pattern;
+    std::vector<ReachableTarget> targets;
+    pcg32 random;
+    SlotAllocator slots;
+};
+
+} // namespace citronloft
--- a/src/citronloft/policy/target_pool.cpp
+++ b/src/citronloft/policy/target_pool.cpp
@@ -13,6 +13,8 @@
 constexpr auto latencyWeight = 0.05;
 constexpr auto leastShedFactor = 0.1;
 constexpr auto shedRecovery = 0.02;
+/// A target that shed counts as full for about the time in which one of its slots becomes free.
+constexpr auto shedPause = std::chrono::milliseconds { 150 };
 
 auto ratio(Duration part, Duration whole) -> double
 {
@@ -30,6 +32,19 @@
 
 } // namespace
 
+auto discoveredPoolOption() -> TargetPoolOption
+{
+    auto option = TargetPoolOption {};
+    option.returnsWithoutProbe = true;
+    option.rampTime = std::chrono::milliseconds { 1 };
+    option.overcommit = 1;
+    option.shedBackoff = 1;
+    option.distrustAfterShed = shedPause;
+    option.passOverLoad = 1.5;
+    option.queueAtTarget = 0.8;
+    return option;
+}
+
 TargetPool::TargetPool(TargetPoolOption option, std::uint64_t seed)
     : option(option)
     , random(seed)
--- a/tests/fakes/virtual_world.hpp
+++ b/tests/fakes/virtual_world.hpp
@@ -16,35 +16,10 @@
 
 #include "citronloft/fleet/config_publisher.hpp"
 #include "citronloft/fleet/fleet_host.hpp"
+#include "citronloft/model/event_queue.hpp"
 
 namespace citronloft {
 
-/// @brief Events in order of virtual time.
-class EventQueue {
-public:
-    auto now() const -> TimePoint { return this->current; }
-
-    auto after(Duration delay, std::function<void()> action) -> void
-    {
-        this->events.emplace(this->current + delay, std::move(action));
-    }
-
-    auto runFor(Duration duration) -> void
-    {
-        const auto end = this->current + duration;
-        while (!this->events.empty() && this->events.begin()->first <= end) {
-            auto node = this->events.extract(this->events.begin());
-            this->current = node.key();
-            node.mapped()();
-        }
-        this->current = end;
-    }
-
-private:
-    TimePoint current { std::chrono::hours { 1 } };
-    std::multimap<TimePoint, std::function<void()>> events;
-};
-
 /// @brief A host's clock, which runs faster or slower than the world's.
 class DriftingClock final : public Clock {
 public:
