--- a/include/citronloft/policy/target_pool.hpp
+++ b/include/citronloft/policy/target_pool.hpp
@@ -47,6 +47,9 @@
     /// Load in slots from which an object's next target is preferred. Above 1, since a short wait for a target that
     /// holds the object costs less than a run on one that does not.
     double passOverLoad = 1;
+    /// Load in slots up to which an object's next target is taken instead. When all targets are busy, runs that miss
+    /// the object would only make them busier.
+    double passToLoad = 0.7;
     /// Requests waiting at a target, as a part of its slots, up to which more are sent there when no slot is free.
     double queueAtTarget = 0.35;
 };
--- a/src/citronloft/model/strategy.cpp
+++ b/src/citronloft/model/strategy.cpp
@@ -32,6 +32,8 @@
     list.back().pool.targetsPerObject = 6;
     list.push_back(makeStrategy("early-pass", "an object's next target is preferred as soon as the first is full"));
     list.back().pool.passOverLoad = 1;
+    list.push_back(makeStrategy("pass-any", "an object's next target is taken whenever it is less loaded"));
+    list.back().pool.passToLoad = list.back().pool.passOverLoad;
     list.push_back(makeStrategy("short-queues", "hardly any request waits at a target"));
     list.back().pool.queueAtTarget = 0.1;
     list.push_back(makeStrategy("own-zone", "targets of other zones are not used"));
--- a/src/citronloft/policy/slot_allocator.cpp
+++ b/src/citronloft/policy/slot_allocator.cpp
@@ -90,8 +90,8 @@
         if (!isTaken)
             return;
         // A queue that keeps its order gives a request up for which the room is none.
-        this->end(taken, target ? SlotDecision { *target, ResultCode::Answered }
-                                : SlotDecision { {}, ResultCode::NoTarget });
+        this->end(
+            taken, target ? SlotDecision { *target, ResultCode::Answered } : SlotDecision { {}, ResultCode::NoTarget });
     }
 }
 
--- a/src/citronloft/policy/target_pool.cpp
+++ b/src/citronloft/policy/target_pool.cpp
@@ -116,7 +116,7 @@
     return this->loadOf(*second, now) < this->loadOf(*first, now) ? second : first;
 }
 
-/// The first of the object's targets that has a free slot; without one, the least loaded whose queue is short.
+/// The object's first target, unless its load is high and another of the object's targets has room.
 auto TargetPool::chooseByObject(const TargetWish& wish, std::uint64_t object, TimePoint now) -> Member*
 {
     auto& best = this->scored;
@@ -133,13 +133,16 @@
         if (best.size() > this->option.targetsPerObject)
             best.pop_back();
     }
-    const auto free
-        = std::ranges::find_if(best, [this](const Scored& item) { return item.load < this->option.passOverLoad; });
-    if (free != best.end())
-        return free->member;
-    const auto least = std::ranges::min_element(best, {}, &Scored::load);
-    const auto isShort = least != best.end() && least->load < 1 + this->option.queueAtTarget;
-    return isShort ? least->member : nullptr;
+    if (best.empty())
+        return nullptr;
+    const auto& first = best.front();
+    if (first.load < this->option.passOverLoad)
+        return first.member;
+    const auto roomy = std::find_if(
+        best.begin() + 1, best.end(), [this](const Scored& item) { return item.load < this->option.passToLoad; });
+    if (roomy != best.end())
+        return roomy->member;
+    return first.load < 1 + this->option.queueAtTarget ? first.member : nullptr;
 }
 
 auto TargetPool::take(Member& member, TimePoint now) -> std::string
