--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -4,7 +4,23 @@
 # targets are those of the configuration file. All processes are stopped by their ids.
 
 FLEET_BIN="${FLEET_BIN:-build/release/programs}"
-FLEET_NET="${FLEET_NET:-$(( $$ % 200 + 30 ))}"
+
+# take_network FIRST: sets FLEET_NET to the first number from FIRST on that no other run of this machine holds. The lock
+# stays with this shell and its processes; without it, two runs at once would share hosts, targets and store.
+take_network() {
+  local number=$1
+  for _ in $(seq 200); do
+    exec 9>"${TMPDIR:-/tmp}/citronloft-network-$number.lock"
+    if flock -n 9; then
+      FLEET_NET=$number
+      return 0
+    fi
+    number=$(( (number - 30 + 1) % 200 + 30 ))
+  done
+  echo "no loopback network is free" >&2
+  return 1
+}
+take_network "${FLEET_NET:-$(( $$ % 200 + 30 ))}" || exit 1
 FLEET_DIR="${FLEET_DIR:-$(mktemp -d)}"
 FLEET_SECRET="loopback-fleet-secret"
 FLEET_PIDS=()
