--- a/src/citronloft/fleet/demand_bound_test.cpp
+++ b/src/citronloft/fleet/demand_bound_test.cpp
@@ -1,7 +1,4 @@
-#include <cstdlib>
 #include <deque>
-#include <numeric>
-#include <sstream>
 
 #include "fakes/fleet_fixture.hpp"
 
@@ -180,19 +177,7 @@
     EXPECT_LE(static_cast<double>(this->count.worst()), this->bound()) << "seed " << this->seed;
 }
 
-/// CITRONLOFT_SEEDS="first last" widens the seeds, for campaigns run by hand.
-auto seeds() -> std::vector<int>
-{
-    auto first = 1;
-    auto last = 12;
-    if (const auto* text = std::getenv("CITRONLOFT_SEEDS"))
-        std::istringstream(text) >> first >> last;
-    auto list = std::vector<int>(static_cast<std::size_t>(last - first + 1));
-    std::iota(list.begin(), list.end(), first);
-    return list;
-}
-
-INSTANTIATE_TEST_SUITE_P(Seeds, DemandBound, testing::ValuesIn(seeds()));
+INSTANTIATE_TEST_SUITE_P(Seeds, DemandBound, testing::ValuesIn(campaignSeeds()));
 
 } // namespace
 } // namespace citronloft
--- a/src/citronloft/fleet/rate_bound_test.cpp
+++ b/src/citronloft/fleet/rate_bound_test.cpp
@@ -1,7 +1,3 @@
-#include <cstdlib>
-#include <numeric>
-#include <sstream>
-
 #include "fakes/fleet_fixture.hpp"
 
 namespace citronloft {
@@ -89,19 +85,7 @@
         EXPECT_TRUE(std::ranges::is_sorted(node->versions));
 }
 
-/// CITRONLOFT_SEEDS="first last" widens the seeds, for campaigns run by hand.
-auto seeds() -> std::vector<int>
-{
-    auto first = 1;
-    auto last = 12;
-    if (const auto* text = std::getenv("CITRONLOFT_SEEDS"))
-        std::istringstream(text) >> first >> last;
-    auto list = std::vector<int>(static_cast<std::size_t>(last - first + 1));
-    std::iota(list.begin(), list.end(), first);
-    return list;
-}
-
-INSTANTIATE_TEST_SUITE_P(Seeds, RateBound, testing::ValuesIn(seeds()));
+INSTANTIATE_TEST_SUITE_P(Seeds, RateBound, testing::ValuesIn(campaignSeeds()));
 
 } // namespace
 } // namespace citronloft
--- a/tests/fakes/fleet_fixture.hpp
+++ b/tests/fakes/fleet_fixture.hpp
@@ -2,6 +2,10 @@
 /// @brief Fixture and callers for tests of whole fleets in virtual time.
 #pragma once
 
+#include <cstdlib>
+#include <numeric>
+#include <sstream>
+
 #include <gtest/gtest.h>
 
 #include "citronloft/check/rate_window.hpp"
@@ -12,6 +16,18 @@
 
 using namespace std::chrono_literals;
 
+/// CITRONLOFT_SEEDS="first last" widens the seeds, for campaigns run by hand.
+inline auto campaignSeeds() -> std::vector<int>
+{
+    auto first = 1;
+    auto last = 12;
+    if (const auto* text = std::getenv("CITRONLOFT_SEEDS"))
+        std::istringstream(text) >> first >> last;
+    auto list = std::vector<int>(static_cast<std::size_t>(last - first + 1));
+    std::iota(list.begin(), list.end(), first);
+    return list;
+}
+
 inline auto smallConfig(const std::vector<std::string>& zones, double rate, double burst) -> Config
 {
     auto config = Config {};
