Retry budget and cold rates hold over the fleet, whoever is cut off

Cause: a host took its part of the retry budget and of a cold target's rate by the hosts it was in touch with. A host that had just started, or was cut off, knew itself alone: it held the whole slack, had 20 retries saved at its start, and was a feeder of every cold target of its zone.

Now parts are taken over the hosts that are remembered (60 s for feeders, the greatest count of 10 minutes for the slack), a host sends to no cold target before it has read the registry, and starts with no retry saved. The decisions moved from the program to FleetHost and policy/.

Ruled out: late 1 s refresh of the part (the cap alone was at fault in schedules without restarts, the saved 20 in those with).

--- a/include/citronloft/fleet/fleet_host.hpp
+++ b/include/citronloft/fleet/fleet_host.hpp
@@ -14,6 +14,7 @@
 #include "citronloft/fleet/rate_limiter.hpp"
 #include "citronloft/fleet/share_holder.hpp"
 #include "citronloft/fleet/zone_steward.hpp"
+#include "citronloft/policy/recent_maximum.hpp"
 
 namespace citronloft {
 
@@ -112,6 +113,14 @@
         this->takeLoads = std::move(take);
     }
 
+    /// @return part of what the fleet may do together, such as its saved retries, that each host may do alone.
+    /// Demand strategy only, as is coldPart().
+    [[nodiscard]] auto evenPart() const -> double;
+
+    /// @return part of a cold target's rate that this host may send.
+    /// @param target name of the run of the target, which stands in zone `zone`.
+    [[nodiscard]] auto coldPart(const std::string& zone, const std::string& target) const -> double;
+
     /// @return part of the zone's slots that this host holds, from 0 to 1.
     [[nodiscard]] auto zonePart() const -> double;
 
@@ -131,6 +140,8 @@
     FleetHostOption option;
     FleetSurroundings surroundings;
     DemandShares demandShares;
+    RecentMaximum mostHosts;
+    bool isRegistryRead = false;
     Membership members;
     std::unique_ptr<LenderList> lenders;
     std::shared_ptr<ShareHolder> holder;
--- a/include/citronloft/policy/demand_shares.hpp
+++ b/include/citronloft/policy/demand_shares.hpp
@@ -74,6 +74,9 @@
     /// @return names of other zones that have fallen silent.
     [[nodiscard]] auto unheardZones(TimePoint now) const -> std::vector<std::string>;
 
+    /// @return IP numbers of the other hosts of this zone, also of those that are remembered only.
+    [[nodiscard]] auto otherHosts() const -> std::vector<std::string>;
+
     /// @return hosts of this zone.
     [[nodiscard]] auto zoneHosts() const -> std::size_t { return this->others.size() + 1; }
 
--- a/include/citronloft/policy/retry.hpp
+++ b/include/citronloft/policy/retry.hpp
@@ -15,6 +15,8 @@
     double budgetRatio = 0.1;
     /// Retries that may be saved up.
     double budgetCap = 20;
+    /// Saved retries at the start; a host that shares the budget with others may have spent its part before a restart.
+    double startBalance = 20;
 };
 
 /// @brief What is known after a failed attempt.
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -18,9 +18,6 @@
 /// Parts of the platform's bounds that are used, since hosts do not know each other's state exactly.
 constexpr auto shiftReserve = 0.6;
 constexpr auto retryReserve = 0.6;
-constexpr auto coldReserve = 0.8;
-/// Hosts that feed a cold target. Each may send one request at once, so few hosts keep the sum near the rate.
-constexpr auto coldFeeders = std::size_t { 3 };
 /// A loan of a zone peer comes within some round trips inside the zone, or not at all.
 constexpr auto rateWait = std::chrono::milliseconds { 30 };
 constexpr auto retryShareInterval = std::chrono::seconds { 1 };
@@ -135,6 +132,7 @@
     option.client.connectTimeout = targetConnectTimeout;
     option.client.acknowledgeTimeout = targetSilenceTimeout;
     option.targets = discoveredPoolOption();
+    option.retry.startBalance = 0;
     return option;
 }
 
@@ -145,7 +143,9 @@
     this->fleet->onLoads([this](std::uint64_t sender, const std::vector<TargetLoad>& loads) {
         this->gateway->notePeerLoads(sender, loads);
     });
-    this->gateway->setColdPart([this](const LiveTarget& target) { return this->coldPartOf(target); });
+    this->gateway->setColdPart([this](const LiveTarget& target) {
+        return target.coldRate * this->fleet->coldPart(target.target.zone, target.instance);
+    });
     auto listener = DiscoveryListener {};
     listener.onConfig
         = [this](ActiveConfig active) { this->fleet->config().offer(active.version, std::move(active.config)); };
@@ -219,28 +219,12 @@
     if (now < this->nextRetryShareAt)
         return;
     this->nextRetryShareAt = now + retryShareInterval;
-    const auto& members = this->fleet->membership();
-    const auto hosts = 1 + members.zonePeers().size() + members.remoteHosts().size();
     auto option = RetryOption {};
     option.budgetRatio = this->settings.retryRatio * retryReserve;
-    option.budgetCap = std::max(this->settings.retrySlack * retryReserve / static_cast<double>(hosts), 1.0);
+    option.budgetCap = std::max(this->settings.retrySlack * retryReserve * this->fleet->evenPart(), 1.0);
     this->gateway->setRetryOption(option);
 }
 
-/// A few hosts of the target's zone feed it while it is cold; all hosts agree on them as far as they know each other.
-auto Host::coldPartOf(const LiveTarget& target) const -> double
-{
-    auto order = std::vector<std::pair<std::uint64_t, std::string>> {};
-    for (const auto& host : this->fleet->membership().hostsOf(target.target.zone))
-        order.emplace_back(bucketId(target.instance + "/" + host.ip), host.ip);
-    std::ranges::sort(order);
-    if (order.size() > coldFeeders)
-        order.resize(coldFeeders);
-    const auto isFeeder
-        = std::ranges::any_of(order, [&](const auto& item) { return item.second == this->settings.ip; });
-    return isFeeder ? target.coldRate * coldReserve / static_cast<double>(coldFeeders) : 0;
-}
-
 auto Host::onConfig(const std::shared_ptr<const ActiveConfig>& active) -> void
 {
     this->gateway->setConfig(active);
--- a/programs/citronloftd/host.hpp
+++ b/programs/citronloftd/host.hpp
@@ -51,7 +51,6 @@
     auto addComponents() -> void;
     auto becomeReady() -> void;
     auto shareRetries(TimePoint now) -> void;
-    [[nodiscard]] auto coldPartOf(const LiveTarget& target) const -> double;
     [[nodiscard]] auto usesAdapter() const -> bool { return this->settings.adapter != "objects"; }
     auto onConfig(const std::shared_ptr<const ActiveConfig>& active) -> void;
     auto onTick() -> void;
--- a/scripts/campaign.sh
+++ b/scripts/campaign.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Runs the random fault campaign of the rate bound over many seeds, in parallel; prints each seed that fails.
-# usage: scripts/campaign.sh FIRST LAST [SUITE]      SUITE: RateBound (leases, default) or DemandBound
+# Runs a random fault campaign over many seeds, in parallel; prints each seed that fails.
+# usage: scripts/campaign.sh FIRST LAST [SUITE]      SUITE: RateBound (leases, default), DemandBound or
+#        SharedLimits (retries, cold targets)
 set -euo pipefail
 cd "$(dirname "$0")/.."
 first="${1:-1}"
@@ -17,6 +18,6 @@
   grep -E 'Failure|FAILED|actual' build/campaign.txt
   exit 1
 fi
-# RateBound prints the excess over the bound last, DemandBound the part of the bound that was used, before "of the bound".
+# RateBound prints the excess over the bound last, the others the part of the bound that was used, before "of the bound".
 awk '/^seed/ { sub(/ of the bound$/, ""); gsub(":", "", $2); if (!n++ || $NF > worst) { worst = $NF; at = $2 } }
   END { print "none over the bound; nearest: seed " at ", " worst }' build/campaign.txt
--- a/src/citronloft/fleet/demand_bound_test.cpp
+++ b/src/citronloft/fleet/demand_bound_test.cpp
@@ -1,36 +1,11 @@
-#include <deque>
-
 #include "fakes/fleet_fixture.hpp"
+#include "fakes/sliding_count.hpp"
 
 namespace citronloft {
 namespace {
 
 constexpr auto tolerance = RateTolerance { .overage = 0.1, .slack = 20, .window = 5s };
 
-/// Greatest number of admissions in any sliding window.
-class SlidingCount {
-public:
-    explicit SlidingCount(Duration window)
-        : window(window)
-    {
-    }
-
-    auto add(TimePoint at) -> void
-    {
-        this->times.push_back(at);
-        while (this->times.front() <= at - this->window)
-            this->times.pop_front();
-        this->greatest = std::max(this->greatest, this->times.size());
-    }
-
-    [[nodiscard]] auto worst() const -> std::size_t { return this->greatest; }
-
-private:
-    Duration window;
-    std::deque<TimePoint> times;
-    std::size_t greatest = 0;
-};
-
 /// Hosts that divide a rate by demand; what they admit together is held against the tolerance of the targets'
 /// operators.
 class DemandBound : public testing::TestWithParam<int> {
--- a/src/citronloft/fleet/fleet_host.cpp
+++ b/src/citronloft/fleet/fleet_host.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "citronloft/fleet/slot_map.hpp"
+#include "citronloft/policy/cold_feeders.hpp"
 
 namespace citronloft {
 
@@ -22,6 +23,8 @@
 constexpr auto rateTolerancePart = 0.6;
 constexpr auto burstTolerancePart = 0.1;
 constexpr auto startTolerancePart = 0.15;
+/// Hosts that are out of sight count so long in what the fleet divides evenly: regions lose each other for minutes.
+constexpr auto hostCountMemory = std::chrono::minutes { 10 };
 
 auto seconds(Duration duration) -> double { return std::chrono::duration<double>(duration).count(); }
 
@@ -54,6 +57,7 @@
     : option(option)
     , surroundings(surroundings)
     , demandShares({}, self.ip)
+    , mostHosts(hostCountMemory)
     , members(option.membership, self, surroundings.transport, seed)
     , lenders(std::make_unique<LenderList>(members))
     , holder(std::make_shared<ShareHolder>(
@@ -113,6 +117,7 @@
     if (this->members.isDelegate())
         this->sendZoneDemand(now);
     this->updateParts(now);
+    this->mostHosts.note(this->demandShares.hosts(), now);
 }
 
 auto FleetHost::tellZone(DemandNotice notice) -> void
@@ -225,6 +230,7 @@
 {
     const auto now = this->surroundings.clock.now();
     const auto& self = this->members.self();
+    this->isRegistryRead = true;
     auto hostsOfZone = std::map<std::string, std::size_t> {};
     // The newest seeds are kept, so this zone's hosts come last.
     for (const auto isOwnZone : { false, true }) {
@@ -240,6 +246,7 @@
     }
     for (const auto& [zone, count] : hostsOfZone)
         this->demandShares.noteZoneHosts(zone, count, now);
+    this->mostHosts.note(this->demandShares.hosts(), now);
 }
 
 auto FleetHost::shareLoads(std::vector<TargetLoad> loads) -> void
@@ -271,6 +278,19 @@
     return static_cast<double>(slots) / slotsPerZone;
 }
 
+auto FleetHost::evenPart() const -> double { return 1.0 / static_cast<double>(this->mostHosts.value()); }
+
+/// Remembered hosts count too: one that is cut off from this host may go on sending.
+auto FleetHost::coldPart(const std::string& zone, const std::string& target) const -> double
+{
+    const auto& self = this->members.self();
+    if (!this->isRegistryRead || zone != self.zone)
+        return 0;
+    auto hosts = this->demandShares.otherHosts();
+    hosts.push_back(self.ip);
+    return coldFeederPart(target, self.ip, hosts);
+}
+
 auto FleetHost::putInForce(const std::shared_ptr<const ActiveConfig>& active) -> void
 {
     const auto now = this->surroundings.clock.now();
--- /dev/null
+++ b/src/citronloft/policy/cold_feeders_test.cpp
@@ -0,0 +1,52 @@
+#include <gtest/gtest.h>
+
+#include "citronloft/policy/cold_feeders.hpp"
+#include "citronloft/policy/recent_maximum.hpp"
+
+namespace citronloft {
+namespace {
+
+using namespace std::chrono_literals;
+
+auto hostNames(int count) -> std::vector<std::string>
+{
+    auto names = std::vector<std::string> {};
+    for (auto i = 0; i < count; ++i)
+        names.push_back("10.1.0." + std::to_string(i));
+    return names;
+}
+
+TEST(ColdFeedersTest, PartsOfAllHostsAddUpToTheReserve)
+{
+    const auto hosts = hostNames(16);
+    auto sum = 0.0;
+    auto feeders = 0;
+    for (const auto& host : hosts) {
+        const auto part = coldFeederPart("run-1", host, hosts);
+        sum += part;
+        feeders += part > 0 ? 1 : 0;
+    }
+    EXPECT_EQ(feeders, 3);
+    EXPECT_NEAR(sum, 0.8, 1e-9);
+}
+
+TEST(ColdFeedersTest, FewHostsSendNoMoreThanTheirParts)
+{
+    EXPECT_NEAR(coldFeederPart("run-1", "10.1.0.0", hostNames(1)), 0.8 / 3, 1e-9);
+    EXPECT_EQ(coldFeederPart("run-1", "10.2.0.0", hostNames(2)), 0);
+}
+
+TEST(RecentMaximumTest, GreatestCountIsRememberedAndForgotten)
+{
+    auto hosts = RecentMaximum(10min);
+    const auto start = TimePoint {} + 1h;
+    EXPECT_EQ(hosts.value(), 1U);
+    hosts.note(48, start);
+    hosts.note(12, start + 11min);
+    EXPECT_EQ(hosts.value(), 48U);
+    hosts.note(12, start + 22min);
+    EXPECT_EQ(hosts.value(), 12U);
+}
+
+} // namespace
+} // namespace citronloft
--- a/src/citronloft/policy/demand_shares.cpp
+++ b/src/citronloft/policy/demand_shares.cpp
@@ -119,6 +119,14 @@
         [&](const auto& item) { return !item.second.isHeard() && now - item.second.knownAt > this->option.remember; });
 }
 
+auto DemandShares::otherHosts() const -> std::vector<std::string>
+{
+    auto names = std::vector<std::string> {};
+    for (const auto& [ip, other] : this->others)
+        names.push_back(ip);
+    return names;
+}
+
 auto DemandShares::hosts() const -> std::size_t
 {
     auto sum = this->zoneHosts();
--- a/src/citronloft/policy/retry.cpp
+++ b/src/citronloft/policy/retry.cpp
@@ -6,7 +6,7 @@
 
 RetryBudget::RetryBudget(RetryOption option)
     : option(option)
-    , balance(option.budgetCap)
+    , balance(std::min(option.startBalance, option.budgetCap))
 {
 }
 
--- /dev/null
+++ b/tests/fakes/sliding_count.hpp
@@ -0,0 +1,42 @@
+/// @file
+/// @brief Counts events in sliding windows, for tests of bounds.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <deque>
+
+#include "citronloft/base/clock.hpp"
+
+namespace citronloft {
+
+/// @brief Number of events in the window that ends now, and the greatest number that any window has had.
+class SlidingCount {
+public:
+    explicit SlidingCount(Duration window)
+        : window(window)
+    {
+    }
+
+    auto add(TimePoint at) -> void
+    {
+        this->times.push_back(at);
+        this->greatest = std::max(this->greatest, this->countAt(at));
+    }
+
+    auto countAt(TimePoint now) -> std::size_t
+    {
+        while (!this->times.empty() && this->times.front() <= now - this->window)
+            this->times.pop_front();
+        return this->times.size();
+    }
+
+    [[nodiscard]] auto worst() const -> std::size_t { return this->greatest; }
+
+private:
+    Duration window;
+    std::deque<TimePoint> times;
+    std::size_t greatest = 0;
+};
+
+} // namespace citronloft
