Failed look-ups are logged and counted by reason; traced

Ruled out: zones thought down while their hosts serve (no-serving-host came only with zones_up=0, right after a start). Weighed and not done: holding a look-up until the host is ready; the caller's next host answers at once.

--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -112,6 +112,7 @@
         Claim claim;
     };
 
+    auto answerLookup(const HttpRequest& request, const CallerContext& caller) -> HttpResponse;
     auto dispatch(HttpRequest& request, CallerContext& caller, boost::asio::yield_context yield) -> CallResult;
     auto handleCaller(Call& call, boost::asio::yield_context yield) -> CallResult;
     auto handleSpilled(Call& call, boost::asio::yield_context yield) -> CallResult;
--- a/include/citronloft/edge/lookup_service.hpp
+++ b/include/citronloft/edge/lookup_service.hpp
@@ -37,6 +37,9 @@
     /// @return the answer; status 503 without a body if no zone may take the caller now.
     auto answer(const HttpRequest& request, const std::string& callerIp) -> HttpResponse;
 
+    /// @return zones with hosts that serve.
+    [[nodiscard]] auto zonesUp() const -> std::size_t { return this->zoneHosts.size(); }
+
     [[nodiscard]] auto planner() const -> const LookupPlanner& { return this->plan; }
 
 private:
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -117,13 +117,34 @@
 {
     if (!this->dialect->isLookup(request))
         return this->dialect->refuse(ResultCode::RouteUnknown, {});
-    return this->lookup.answer(request, caller.caller.ip);
+    return this->answerLookup(request, caller);
+}
+
+auto Gateway::answerLookup(const HttpRequest& request, const CallerContext& caller) -> HttpResponse
+{
+    auto answer = this->lookup.answer(request, caller.caller.ip);
+    if (answer.status == 200) {
+        this->metrics.count("citronloft_lookups_total", "result=\"answered\"");
+        return answer;
+    }
+    const auto reason = std::string { this->snapshot ? "no-serving-host" : "no-configuration" };
+    this->metrics.count("citronloft_lookups_total", "result=\"" + reason + "\"");
+    auto leftOut = std::uint64_t { 0 };
+    if (this->logLimiter.allow("lookup-failed", this->clock.now(), leftOut)) {
+        LogEvent(LogLevel::Info, "lookup-failed")
+            .with("caller", caller.caller.ip)
+            .with("query", request.target)
+            .with("reason", reason)
+            .with("zones_up", this->lookup.zonesUp())
+            .with("left_out", leftOut);
+    }
+    return answer;
 }
 
 auto Gateway::dispatch(HttpRequest& request, CallerContext& caller, boost::asio::yield_context yield) -> CallResult
 {
     if (this->option.servesLookups && this->dialect->isLookup(request)) {
-        auto answer = this->lookup.answer(request, caller.caller.ip);
+        auto answer = this->answerLookup(request, caller);
         if (answer.status != 200)
             return { ResultCode::ShiftCapReached, {}, busyRetryAfter };
         return { ResultCode::LookupAnswered, std::move(answer), {} };
