A host that was cut off from the store does not wait for an event on its return

Cause: while the store is away one call at a time finds out whether it is back. That call was the configuration's watch, which waits for an event of its kind for up to 30 s; until it ended the watches of targets and of emptied zones did not start. A host that had been cut off went on using targets that had left and zones that were emptied, unless the configuration happened to change.

Found by a new campaign in virtual time (withdrawal_bound_test: twelve hosts with the real Discovery, a store with history, cuts, refusals, silence, slow answers, compaction). Unit test: CallThatFindsTheStoreAgainDoesNotWait.

--- a/include/citronloft/fleet/discovery.hpp
+++ b/include/citronloft/fleet/discovery.hpp
@@ -64,6 +64,9 @@
     /// @brief Runs all that is due; to be called every 20 ms or so.
     auto tick(TimePoint now) -> void;
 
+    /// @brief Sets how many hosts follow the same objects: the more there are, the more events each call takes in.
+    auto setFleetSize(std::size_t hosts) -> void;
+
     /// @return whether configuration, targets and evacuated zones have been read.
     [[nodiscard]] auto isReady() const -> bool;
 
--- a/include/citronloft/fleet/fleet_host.hpp
+++ b/include/citronloft/fleet/fleet_host.hpp
@@ -113,9 +113,9 @@
         this->takeLoads = std::move(take);
     }
 
-    /// @return part of what the fleet may do together, such as its saved retries, that each host may do alone.
-    /// Demand strategy only, as is coldPart().
-    [[nodiscard]] auto evenPart() const -> double;
+    /// @return most hosts that the fleet has had of late, as far as this host knows; by it is divided what they may do
+    /// together, such as saved retries. Demand strategy only, as is coldPart().
+    [[nodiscard]] auto hostCount() const -> std::size_t { return this->mostHosts.value(); }
 
     /// @return part of a cold target's rate that this host may send.
     /// @param target name of the run of the target, which stands in zone `zone`.
--- a/include/citronloft/fleet/object_mirror.hpp
+++ b/include/citronloft/fleet/object_mirror.hpp
@@ -52,8 +52,11 @@
 /// @brief Intervals of a mirror.
 struct ObjectMirrorOption {
     std::string kind;
-    /// Time that a watch may wait; the longest that the store allows, since every watch is a counted call.
-    Duration watchWait = std::chrono::seconds { 30 };
+    /// Time that a watch may wait. Every watch is a counted call, but a watch that waits past the history that the
+    /// store keeps (20 s on the users' platform) ends without a revision to go on from and costs a whole list.
+    Duration watchWait = std::chrono::seconds { 18 };
+    /// The same while the store is away: the shortest time that a store can be asked to wait.
+    Duration probeWait = std::chrono::milliseconds { 1 };
     /// Pause between two watches, so that the events of a burst arrive in one call.
     Duration pause = std::chrono::milliseconds { 150 };
     /// The pause doubles up to this while events keep coming: half a second more than the first of a burst is little
@@ -81,6 +84,9 @@
     /// @brief Starts calls that are due and drops objects whose time has come; to be called every 20 ms or so.
     auto tick(TimePoint now) -> void;
 
+    /// @brief Changes how long the pause grows in a burst.
+    auto setGreatestPause(Duration pause) -> void { this->option.greatestPause = pause; }
+
     /// @return whether a whole list has been read.
     [[nodiscard]] auto isReady() const -> bool { return this->isListed; }
 
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -219,9 +219,10 @@
     if (now < this->nextRetryShareAt)
         return;
     this->nextRetryShareAt = now + retryShareInterval;
+    const auto hosts = static_cast<double>(this->fleet->hostCount());
     auto option = RetryOption {};
     option.budgetRatio = this->settings.retryRatio * retryReserve;
-    option.budgetCap = std::max(this->settings.retrySlack * retryReserve * this->fleet->evenPart(), 1.0);
+    option.budgetCap = std::max(this->settings.retrySlack * retryReserve / hosts, 1.0);
     this->gateway->setRetryOption(option);
 }
 
@@ -254,6 +255,7 @@
     this->gateway->tick();
     if (this->discovery) {
         const auto now = this->clock.now();
+        this->discovery->setFleetSize(this->fleet->hostCount());
         this->discovery->tick(now);
         this->registry->tick(now);
         this->shareRetries(now);
--- a/scripts/campaign.sh
+++ b/scripts/campaign.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Runs a random fault campaign over many seeds, in parallel; prints each seed that fails.
 # usage: scripts/campaign.sh FIRST LAST [SUITE]      SUITE: RateBound (leases, default), DemandBound or
-#        SharedLimits (retries, cold targets)
+#        SharedLimits (retries, cold targets) or WithdrawalBound (drains, evacuations, configurations)
 set -euo pipefail
 cd "$(dirname "$0")/.."
 first="${1:-1}"
--- a/src/citronloft/fleet/discovery.cpp
+++ b/src/citronloft/fleet/discovery.cpp
@@ -1,9 +1,22 @@
 #include "citronloft/fleet/discovery.hpp"
 
+#include <algorithm>
+
 #include "citronloft/base/log.hpp"
 
 namespace citronloft {
 
+namespace {
+
+/// In a burst of events about targets the fleet makes some 40 calls a second together, of the 2,000 that the users'
+/// store answers: most of its room is for starts and for the targets themselves.
+constexpr auto burstPausePerHost = std::chrono::milliseconds { 24 };
+constexpr auto leastBurstPause = std::chrono::milliseconds { 600 };
+/// Half of the tightest bound of the users on a target that leaves (2.5 s).
+constexpr auto greatestBurstPause = std::chrono::milliseconds { 1200 };
+
+} // namespace
+
 Discovery::Discovery(const Clock& clock, Metrics& metrics, std::shared_ptr<ObjectFeed> feed,
     std::shared_ptr<const PlatformDecoder> decoder, std::uint64_t seed, DiscoveryListener listener)
     : clock(clock)
@@ -30,6 +43,12 @@
     this->evacuations->tick(now);
 }
 
+auto Discovery::setFleetSize(std::size_t hosts) -> void
+{
+    const auto pause = burstPausePerHost * static_cast<std::int64_t>(hosts);
+    this->targets->setGreatestPause(std::clamp<Duration>(pause, leastBurstPause, greatestBurstPause));
+}
+
 auto Discovery::isReady() const -> bool
 {
     return this->configs->isReady() && this->targets->isReady() && this->evacuations->isReady();
--- a/src/citronloft/fleet/fleet_host.cpp
+++ b/src/citronloft/fleet/fleet_host.cpp
@@ -278,8 +278,6 @@
     return static_cast<double>(slots) / slotsPerZone;
 }
 
-auto FleetHost::evenPart() const -> double { return 1.0 / static_cast<double>(this->mostHosts.value()); }
-
 /// Remembered hosts count too: one that is cut off from this host may go on sending.
 auto FleetHost::coldPart(const std::string& zone, const std::string& target) const -> double
 {
--- a/src/citronloft/fleet/object_mirror.cpp
+++ b/src/citronloft/fleet/object_mirror.cpp
@@ -49,11 +49,12 @@
 {
     this->isCalling = true;
     this->watchedAt = this->clock.now();
-    this->feed->watch(
-        this->option.kind, this->revision, this->option.watchWait, [self = this->shared_from_this()](auto batch) {
-            self->isCalling = false;
-            self->takeEvents(std::move(batch));
-        });
+    // The call that finds out whether the store is back holds all others up, so it must not wait for an event.
+    const auto wait = this->link->isAway() ? this->option.probeWait : this->option.watchWait;
+    this->feed->watch(this->option.kind, this->revision, wait, [self = this->shared_from_this()](auto batch) {
+        self->isCalling = false;
+        self->takeEvents(std::move(batch));
+    });
 }
 
 auto ObjectMirror::takeList(absl::StatusOr<ObjectBatch> batch) -> void
--- a/src/citronloft/fleet/object_mirror_test.cpp
+++ b/src/citronloft/fleet/object_mirror_test.cpp
@@ -17,6 +17,7 @@
         std::uint64_t revision = 0;
         std::string after;
         Done done;
+        Duration wait {};
     };
 
     auto list(const std::string&, const std::string& after, Done done) -> void override
@@ -24,13 +25,17 @@
         this->calls.push_back({ false, 0, after, std::move(done) });
     }
 
-    auto watch(const std::string&, std::uint64_t revision, Duration, Done done) -> void override
+    auto watch(const std::string&, std::uint64_t revision, Duration wait, Done done) -> void override
     {
-        this->calls.push_back({ true, revision, {}, std::move(done) });
+        this->calls.push_back({ true, revision, {}, std::move(done), wait });
     }
 
     auto answer(absl::StatusOr<ObjectBatch> batch) -> void
     {
+        if (this->calls.empty()) {
+            ADD_FAILURE() << "no call to answer";
+            return;
+        }
         const auto call = std::move(this->calls.back());
         this->calls.pop_back();
         call.done(std::move(batch));
@@ -120,6 +125,41 @@
     EXPECT_EQ(this->feed->calls.size(), 1U) << "after a quiet time the first pause is short again";
 }
 
+TEST_F(ObjectMirrorTest, WatchEndsBeforeItsHistoryIsGone)
+{
+    constexpr auto history = 20s;
+    this->listed({ { "a", 1, "", false } }, 1);
+    EXPECT_LT(this->feed->calls.back().wait, history);
+}
+
+/// Found by the withdrawal campaign: the probe waited 30 s for an event of its kind, and no other mirror could call.
+TEST_F(ObjectMirrorTest, CallThatFindsTheStoreAgainDoesNotWait)
+{
+    this->listed({ { "a", 1, "", false } }, 1);
+    this->feed->answer(absl::DeadlineExceededError("silent"));
+    this->tickFor(300ms);
+    ASSERT_EQ(this->feed->calls.size(), 1U);
+    EXPECT_LE(this->feed->calls.back().wait, 1ms);
+    this->feed->answer(ObjectBatch { {}, false, 1 });
+    this->tickFor(300ms);
+    EXPECT_GT(this->feed->calls.back().wait, 1s) << "the store is back";
+}
+
+TEST_F(ObjectMirrorTest, LargerFleetTakesMoreEventsInACall)
+{
+    this->mirror->setGreatestPause(1200ms);
+    this->listed({ { "a", 1, "", false } }, 1);
+    auto watches = 0;
+    for (auto revision = std::uint64_t { 2 }; revision < 102; ++revision) {
+        this->tickFor(50ms);
+        if (this->feed->calls.empty())
+            continue;
+        ++watches;
+        this->feed->answer(ObjectBatch { { { "a", revision, "", false } }, false, revision });
+    }
+    EXPECT_LE(watches, 7) << "in six seconds of events";
+}
+
 TEST_F(ObjectMirrorTest, DeletionIsBelievedAtOnceWhileTheStoreIsThere)
 {
     this->listed({ { "a", 1, "", false }, { "b", 2, "", false } }, 2);
--- a/src/citronloft/fleet/shared_limits_test.cpp
+++ b/src/citronloft/fleet/shared_limits_test.cpp
@@ -79,7 +79,7 @@
         this->readStore(node, own);
         if (now >= own.nextShareAt) {
             own.nextShareAt = now + 1s;
-            const auto cap = std::max(retrySlack * retryReserve * node.host->evenPart(), 1.0);
+            const auto cap = std::max(retrySlack * retryReserve / static_cast<double>(node.host->hostCount()), 1.0);
             own.retries.setOption({ .budgetRatio = retryRatio * retryReserve, .budgetCap = cap });
         }
         this->feedColdTarget(own, now);
--- /dev/null
+++ b/tests/fakes/virtual_feed.hpp
@@ -0,0 +1,238 @@
+/// @file
+/// @brief A store with lists and watches in virtual time, and each host's way to it.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "citronloft/fleet/object_mirror.hpp"
+#include "citronloft/model/event_queue.hpp"
+
+namespace citronloft {
+
+/// @brief Objects of all kinds, with the history of their changes.
+class VirtualObjects {
+public:
+    /// @brief An event and its kind.
+    struct Change {
+        std::string kind;
+        MirroredObject object;
+    };
+
+    using Waiter = std::function<void(const Change&)>;
+
+    VirtualObjects(EventQueue& events, Duration history)
+        : events(events)
+        , history(history)
+    {
+    }
+
+    auto put(const std::string& kind, const std::string& name, std::string body) -> void
+    {
+        auto object = MirroredObject { name, ++this->lastRevision, std::move(body), false };
+        this->objects[kind][name] = object;
+        this->note({ kind, std::move(object) });
+    }
+
+    auto remove(const std::string& kind, const std::string& name) -> void
+    {
+        this->objects[kind].erase(name);
+        this->note({ kind, { name, ++this->lastRevision, {}, true } });
+    }
+
+    /// @brief Forgets all changes up to now.
+    auto compact() -> void
+    {
+        this->changes.clear();
+        this->oldest = this->lastRevision;
+    }
+
+    [[nodiscard]] auto revision() const -> std::uint64_t { return this->lastRevision; }
+
+    /// @return a page of the objects of a kind behind `after`.
+    auto page(const std::string& kind, const std::string& after) -> ObjectBatch
+    {
+        constexpr auto pageSize = std::size_t { 10 };
+        auto batch = ObjectBatch { {}, false, this->lastRevision };
+        const auto& all = this->objects[kind];
+        for (auto item = all.upper_bound(after); item != all.end(); ++item) {
+            if (batch.objects.size() == pageSize) {
+                batch.hasMore = true;
+                break;
+            }
+            batch.objects.push_back(item->second);
+        }
+        return batch;
+    }
+
+    /// @return the changes after a revision, or OutOfRange.
+    auto changesAfter(const std::string& kind, std::uint64_t revision) -> absl::StatusOr<ObjectBatch>
+    {
+        this->forgetOld();
+        if (revision < this->oldest)
+            return absl::OutOfRangeError("the history is gone");
+        auto batch = ObjectBatch { {}, false, this->lastRevision };
+        for (const auto& [at, change] : this->changes) {
+            if (change.kind == kind && change.object.revision > revision)
+                batch.objects.push_back(change.object);
+        }
+        return batch;
+    }
+
+    /// @brief Calls `waiter` with each change from now on, until the number is passed to forget().
+    auto wait(Waiter waiter) -> std::uint64_t
+    {
+        this->waiters.emplace(++this->lastWaiter, std::move(waiter));
+        return this->lastWaiter;
+    }
+
+    auto forget(std::uint64_t waiter) -> void { this->waiters.erase(waiter); }
+
+private:
+    auto note(Change change) -> void
+    {
+        this->changes.emplace_back(this->events.now(), change);
+        this->forgetOld();
+        const auto waiting = this->waiters;
+        for (const auto& [number, waiter] : waiting)
+            waiter(change);
+    }
+
+    auto forgetOld() -> void
+    {
+        while (!this->changes.empty() && this->changes.front().first <= this->events.now() - this->history) {
+            this->oldest = this->changes.front().second.object.revision;
+            this->changes.pop_front();
+        }
+    }
+
+    EventQueue& events;
+    Duration history;
+    std::map<std::string, std::map<std::string, MirroredObject>> objects;
+    std::deque<std::pair<TimePoint, Change>> changes;
+    std::uint64_t oldest = 0;
+    std::uint64_t lastRevision = 0;
+    std::map<std::uint64_t, Waiter> waiters;
+    std::uint64_t lastWaiter = 0;
+};
+
+/// @brief What happens to a host's calls.
+enum class FeedFault : std::uint8_t {
+    None,
+    /// Calls are refused and waiting ones cut.
+    Refused,
+    /// Nothing arrives; a call ends when the connection has been silent for too long.
+    Silent,
+    /// Answers take long.
+    Slow,
+};
+
+/// @brief One host's way to the store.
+class VirtualFeed final : public ObjectFeed, public std::enable_shared_from_this<VirtualFeed> {
+public:
+    VirtualFeed(EventQueue& events, VirtualObjects& store)
+        : events(events)
+        , store(store)
+    {
+    }
+
+    /// @brief Changes the fault; calls under way meet it too.
+    auto setFault(FeedFault changed) -> void
+    {
+        if (this->fault == changed)
+            return;
+        this->fault = changed;
+        if (changed != FeedFault::Refused && changed != FeedFault::Silent)
+            return;
+        // The answers of calls under way are lost with their connections.
+        const auto lost = std::exchange(this->calls, {});
+        for (const auto& [number, call] : lost) {
+            this->store.forget(call.waiter);
+            this->fail(call.done);
+        }
+    }
+
+    auto list(const std::string& kind, const std::string& after, Done done) -> void override
+    {
+        this->start(
+            std::move(done), [this, kind, after](auto number) { this->answer(number, this->store.page(kind, after)); });
+    }
+
+    auto watch(const std::string& kind, std::uint64_t revision, Duration wait, Done done) -> void override
+    {
+        this->start(std::move(done), [this, kind, revision, wait](auto number) {
+            auto found = this->store.changesAfter(kind, revision);
+            if (!found.ok() || !found->objects.empty())
+                return this->answer(number, std::move(found));
+            this->calls.at(number).waiter = this->store.wait([this, kind, revision, number](const auto& change) {
+                if (change.kind == kind)
+                    this->answer(number, this->store.changesAfter(kind, revision));
+            });
+            this->events.after(wait, [self = this->shared_from_this(), kind, revision, number] {
+                if (self->calls.contains(number))
+                    self->answer(number, self->store.changesAfter(kind, revision));
+            });
+        });
+    }
+
+    std::uint64_t callsMade = 0;
+
+private:
+    struct Call {
+        Done done;
+        std::uint64_t waiter = 0;
+    };
+
+    /// The way to the store takes half of the time of a call.
+    auto start(Done done, std::function<void(std::uint64_t)> arrive) -> void
+    {
+        ++this->callsMade;
+        if (this->fault == FeedFault::Refused || this->fault == FeedFault::Silent)
+            return this->fail(done);
+        const auto number = ++this->lastCall;
+        this->calls.emplace(number, Call { std::move(done) });
+        this->events.after(this->latency(), [self = this->shared_from_this(), number, arrive = std::move(arrive)] {
+            if (self->calls.contains(number))
+                arrive(number);
+        });
+    }
+
+    auto answer(std::uint64_t number, absl::StatusOr<ObjectBatch> batch) -> void
+    {
+        this->store.forget(std::exchange(this->calls.at(number).waiter, 0));
+        this->events.after(
+            this->latency(), [self = this->shared_from_this(), number, batch = std::move(batch)]() mutable {
+                auto call = self->calls.extract(number);
+                if (!call.empty())
+                    call.mapped().done(std::move(batch));
+            });
+    }
+
+    auto fail(const Done& done) -> void
+    {
+        constexpr auto silenceTimeout = std::chrono::milliseconds { 1500 };
+        const auto isSilent = this->fault == FeedFault::Silent;
+        this->events.after(isSilent ? Duration { silenceTimeout } : this->latency(), [done, isSilent] {
+            done(isSilent ? absl::DeadlineExceededError("silent") : absl::UnavailableError("refused"));
+        });
+    }
+
+    [[nodiscard]] auto latency() const -> Duration
+    {
+        return this->fault == FeedFault::Slow ? std::chrono::milliseconds { 150 } : std::chrono::milliseconds { 30 };
+    }
+
+    EventQueue& events;
+    VirtualObjects& store;
+    FeedFault fault = FeedFault::None;
+    std::map<std::uint64_t, Call> calls;
+    std::uint64_t lastCall = 0;
+};
+
+} // namespace citronloft
