--- a/src/citronloft/fleet/demand_bound_test.cpp
+++ b/src/citronloft/fleet/demand_bound_test.cpp
@@ -168,6 +168,27 @@
     EXPECT_LE(static_cast<double>(this->count.worst()), this->bound()) << "seed " << this->seed;
 }
 
+/// A lower rate binds one window after every host could know it; tokens of the old rate must be gone by then.
+TEST_P(DemandBound, HoldsAfterTheRateWasLowered)
+{
+    constexpr auto applyTime = 2500ms;
+    const auto focus = this->randomHost();
+    const auto isFocused = this->seed % 2 == 0;
+    const auto choose = [&] { return isFocused ? focus : this->randomHost(); };
+    // Quiet hosts save tokens up; busy ones hold a part of the old rate.
+    this->load(this->rate / 4, 6s, choose);
+    this->rate /= 4;
+    ASSERT_EQ(this->world->apply(smallConfig({ "a1", "a2", "b1", "b2" }, this->rate, this->rate)).outcome,
+        ApplyOutcome::Accepted);
+    this->load(this->rate * 4, applyTime, choose);
+    this->count = SlidingCount { tolerance.window };
+    this->load(this->rate * 4, 15s, choose);
+    std::cout << "seed " << this->seed << ": admitted " << this->admitted << " of " << this->offered << ", used "
+              << static_cast<double>(this->count.worst()) / this->bound() << " of the bound\n";
+    EXPECT_GT(this->count.worst(), 0U);
+    EXPECT_LE(static_cast<double>(this->count.worst()), this->bound()) << "seed " << this->seed;
+}
+
 TEST_P(DemandBound, HoldsWhenAllHostsRestart)
 {
     this->load(this->rate * 2, 6s, [&] { return this->randomHost(); });
