The first watch at the store after a reader does not wait; far-over teams are refused at once

The store dropped its history at 2.2 s and cut its watches. The zone's reader lost its watch and said so; two hosts then watched the store from their old revision in the moment before the history went, and heard nothing until the next event at 6.8 s, which answered 410. Hosts whose own watch was cut probe with a call that does not wait. A watch that has followed a reader goes to the store with a wait of 1 ms, after a failed fetch too.

--- a/include/citronloft/fleet/rate_limiter.hpp
+++ b/include/citronloft/fleet/rate_limiter.hpp
@@ -207,6 +207,7 @@
     auto serveWaiting(Bucket& bucket, TimePoint now) -> void;
     [[nodiscard]] auto mayWait(Bucket& bucket, std::int64_t amount, TimePoint now) const -> bool;
     [[nodiscard]] auto isMintedSoon(Bucket& bucket, std::int64_t amount, TimePoint now) const -> bool;
+    [[nodiscard]] auto greatestBacklog(const Bucket& bucket) const -> std::int64_t;
     auto takeHopeless(Bucket& bucket, TimePoint now) const -> std::deque<Waiting>;
     auto endHopelessWaits(Bucket& bucket, TimePoint now) -> void;
     auto refuse(Bucket& bucket, const Done& done, std::int64_t amount, bool late, TimePoint now) -> void;
--- a/include/citronloft/fleet/zone_feed.hpp
+++ b/include/citronloft/fleet/zone_feed.hpp
@@ -32,6 +32,8 @@
     /// Silence after which a reader is not relied on: three lost notices. With the call to the store that follows, it
     /// is less than half of the tightest bound on withdrawals (2.5 s).
     Duration readerSilence = std::chrono::milliseconds { 800 };
+    /// Wait of the first watch at the store after a reader: the shortest that a store can be asked for.
+    Duration probeWait = std::chrono::milliseconds { 1 };
 };
 
 /// @brief A feed that asks the zone's reader first and the store itself when there is none.
@@ -66,11 +68,13 @@
         std::uint64_t revision = 0;
         TimePoint until;
         Done done;
+        /// It has waited for a reader.
+        bool hasFollowed = false;
     };
 
     [[nodiscard]] auto readerRevision(const std::string& kind, TimePoint now) const -> std::optional<std::uint64_t>;
-    auto proceed(const Waiting& waiting, TimePoint now) -> bool;
-    auto fetch(const std::string& kind, std::uint64_t revision, Duration wait, Done done) -> void;
+    auto proceed(Waiting& waiting, TimePoint now) -> bool;
+    auto fetch(const std::string& kind, std::uint64_t revision, Done done) -> void;
 
     ZoneFeedOption option;
     const Clock& clock;
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -199,7 +199,8 @@
     if (call.team == nullptr || call.team->rate <= 0)
         return { .admitted = true, .waited = false, .retryAfter = {} };
     auto waiter = std::make_shared<Waiter<RateDecision>>(this->context);
-    const auto until = this->objectiveEnd(call);
+    // A request that has waited longer for its rate is hardly answered within its objective.
+    const auto until = call.receivedAt + (objectiveEnd(call) - call.receivedAt) / 2;
     const auto id = this->fleet.rates().acquire(bucketId(teamBucketName(call.team->name)), microTokensPerToken, until,
         this->clock.now(), [waiter](RateDecision decision) { waiter->set(decision); });
     const auto decision = waiter->wait(until, yield);
@@ -303,7 +304,7 @@
     request.rank += call.route->priority;
     const auto known = this->routeLatencies.find(call.route->name);
     const auto latency = known == this->routeLatencies.end() ? Duration {} : known->second;
-    request.usefulUntil = this->objectiveEnd(call) - latency;
+    request.usefulUntil = objectiveEnd(call) - latency;
     return request;
 }
 
--- a/src/citronloft/fleet/rate_limiter.cpp
+++ b/src/citronloft/fleet/rate_limiter.cpp
@@ -23,7 +23,7 @@
 /// Some round trips inside a region and a tick of a busy host.
 constexpr auto nearAskTimeout = std::chrono::milliseconds { 40 };
 /// Some rounds of asks; callers' objectives end most waits sooner.
-constexpr auto greatestLoanWait = std::chrono::milliseconds { 600 };
+constexpr auto greatestLoanWait = std::chrono::milliseconds { 300 };
 /// A round trip between the regions that are farthest apart (110 ms) and a tick.
 constexpr auto remoteAskTimeout = std::chrono::milliseconds { 130 };
 
@@ -180,9 +180,20 @@
         return false;
     const auto ahead = std::accumulate(bucket.waiting.begin(), bucket.waiting.end(), amount,
         [](std::int64_t sum, const Waiting& item) { return sum + item.amount; });
+    if (this->option.dividesByDemand && ahead > this->greatestBacklog(bucket))
+        return false;
     return now >= bucket.emptyUntil || this->isMintedSoon(bucket, ahead, now);
 }
 
+/// The whole fleet has no more tokens within the longest wait. A team far over its rate is refused at once by this.
+auto RateLimiter::greatestBacklog(const Bucket& bucket) const -> std::int64_t
+{
+    constexpr auto least = 2 * microTokensPerToken;
+    const auto minted
+        = static_cast<double>(bucket.spec.whole.microTokensPerSecond) * seconds(this->option.greatestWait);
+    return std::max(static_cast<std::int64_t>(minted), least);
+}
+
 /// @return whether the host has `amount` within the wait for its own tokens.
 auto RateLimiter::isMintedSoon(Bucket& bucket, std::int64_t amount, TimePoint now) const -> bool
 {
--- a/src/citronloft/fleet/zone_feed.cpp
+++ b/src/citronloft/fleet/zone_feed.cpp
@@ -53,18 +53,20 @@
 }
 
 /// @return whether the watch waits no longer here.
-auto ZoneFeed::proceed(const Waiting& item, TimePoint now) -> bool
+auto ZoneFeed::proceed(Waiting& item, TimePoint now) -> bool
 {
     const auto known = this->readerRevision(item.kind, now);
     if (!known) {
-        const auto wait = std::max<Duration>(item.until - now, std::chrono::milliseconds { 1 });
+        // What made the reader fall silent may have dropped the store's history: the first call finds that out.
+        const auto wait = item.hasFollowed ? this->option.probeWait : item.until - now;
         this->store->watch(item.kind, item.revision, wait, item.done);
         return true;
     }
     if (*known > item.revision) {
-        this->fetch(item.kind, item.revision, item.until - now, item.done);
+        this->fetch(item.kind, item.revision, item.done);
         return true;
     }
+    item.hasFollowed = true;
     if (now < item.until)
         return false;
     item.done(ObjectBatch { {}, false, item.revision, true });
@@ -72,18 +74,17 @@
 }
 
 /// The reader's history may be shorter than the store's, so the store decides whether a list is needed.
-auto ZoneFeed::fetch(const std::string& kind, std::uint64_t revision, Duration wait, Done done) -> void
+auto ZoneFeed::fetch(const std::string& kind, std::uint64_t revision, Done done) -> void
 {
     this->peers->fetchFeed(this->reader, { kind, revision },
-        [self = this->shared_from_this(), kind, revision, wait, done = std::move(done)](
+        [self = this->shared_from_this(), kind, revision, done = std::move(done)](
             absl::StatusOr<ObjectBatch> batch) mutable {
             if (batch.ok()) {
                 done(std::move(batch));
                 return;
             }
             LogEvent(LogLevel::Info, "reader-failed").with("kind", kind).with("reason", batch.status().ToString());
-            const auto least = std::chrono::milliseconds { 1 };
-            self->store->watch(kind, revision, std::max<Duration>(wait, least), std::move(done));
+            self->store->watch(kind, revision, self->option.probeWait, std::move(done));
         });
 }
 
