Targets' rate limits in logs, metrics and status

Now the platform's adapter decodes the limit from every answer, the pool keeps it per target, and a host writes `target-limit` when a limit is announced, changed or ended (target, pool, value, request), `target-limit-ignored` when one cannot be read, counts requests sent to such targets (`citronloft_limited_target_requests_total`) and shows the limit on the status page. How many hosts know of a limit, from when, and what each of them sends meanwhile then follows from the logs.

No decision uses the limit yet; what is sent where is unchanged. An answer to a request that was sent before the latest answer with a limit does not end it, as answers can overtake each other.

Tests: policy_test (AnnouncedLimitTest), platform_test (DialectTest.ReadsRateLimitOfTargetAnswers).

--- a/include/citronloft/edge/dialect.hpp
+++ b/include/citronloft/edge/dialect.hpp
@@ -11,6 +11,8 @@
 #include <string>
 #include <vector>
 
+#include <absl/status/statusor.h>
+
 #include "citronloft/base/result_code.hpp"
 #include "citronloft/edge/http_message.hpp"
 #include "citronloft/policy/live_target.hpp"
@@ -54,6 +56,9 @@
     /// The server at the address is not the expected instance.
     bool misdirected = false;
     std::optional<ReportedLoad> load;
+    /// Maximum rate in requests per second that the target accepts from all hosts together; nothing if the response
+    /// states none, an error if it cannot be parsed.
+    absl::StatusOr<std::optional<double>> rateLimit = std::optional<double> {};
     /// Time for which the target stays cold; absent if the target does not report it.
     std::optional<std::chrono::milliseconds> coldFor;
 };
--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -139,6 +139,11 @@
     auto finishWithoutTarget(Call& call, std::optional<ResultCode> uncertainResult, ResultCode refusal,
         unsigned attempt, boost::asio::yield_context yield) -> CallResult;
     auto recordReportedLoad(PoolAdmission& admission, const std::string& target, const TargetFields& fields) -> void;
+    auto recordRateLimit(const Call& call, const std::string& target, ResultCode code, const TargetFields& fields,
+        TimePoint sentAt) -> void;
+    auto logRateLimit(const Call& call, const std::string& target, LimitChange change, std::optional<double> perSecond)
+        -> void;
+    auto logMalformedRateLimit(const Call& call, const std::string& target, const absl::Status& reason) -> void;
     auto logFailure(const HttpRequest& request, const CallResult& result, Duration took) -> void;
     [[nodiscard]] auto teamOf(std::string_view key) const -> const Team*;
     auto logRetry(const Call& call, ResultCode code, const std::string& target, unsigned attempt) -> void;
--- a/include/citronloft/policy/target_pool.hpp
+++ b/include/citronloft/policy/target_pool.hpp
@@ -14,6 +14,7 @@
 
 #include "citronloft/base/clock.hpp"
 #include "citronloft/base/config.hpp"
+#include "citronloft/policy/announced_limit.hpp"
 #include "citronloft/policy/live_target.hpp"
 #include "citronloft/policy/target_health.hpp"
 #include "citronloft/policy/target_load.hpp"
@@ -99,6 +100,8 @@
     TargetState state = TargetState::Probing;
     std::uint32_t inFlight = 0;
     std::uint32_t limit = 0;
+    /// Rate that the target announces, in requests per second.
+    std::optional<double> announcedLimit;
 };
 
 /// @brief The targets of one pool to which this host can send requests.
@@ -139,6 +142,13 @@
     /// @brief Updates a target from its own report.
     auto report(const std::string& key, TargetReport report, TimePoint now) -> void;
 
+    /// @brief Updates the limit that a target announces from one of its answers (see AnnouncedLimit::record()).
+    auto recordRateLimit(const std::string& key, std::optional<double> perSecond, TimePoint sentAt, TimePoint now)
+        -> LimitChange;
+
+    /// @return limit in requests per second that a target announces; nothing if there is none.
+    [[nodiscard]] auto announcedLimit(const std::string& key) const -> std::optional<double>;
+
     /// @brief Records the result of a probe.
     auto recordProbe(const std::string& key, bool ok, TimePoint now) -> void;
 
@@ -198,6 +208,7 @@
         bool hasReport = false;
         bool reportedDraining = false;
         bool isMisdirected = false;
+        AnnouncedLimit announcedLimit;
         /// Tokens of the bucket that limits requests while the target is cold.
         double coldTokens = 0;
         TimePoint coldTokensAt {};
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -362,6 +362,8 @@
     call.caller->onDisconnect([&cancel] { cancel.cancel(); });
     const auto address = parseAddress(live->target.address);
     const auto request = makeForwardedRequest(*this->dialect, call, live->instance, startedAt);
+    if (admission.targets().announcedLimit(target))
+        this->metrics.count("citronloft_limited_target_requests_total");
     auto exchange = this->client->exchange(*address, request, exchangeOption, yield);
     call.caller->onDisconnect(nullptr);
     auto code = resultCodeOf(exchange.error);
@@ -373,6 +375,7 @@
     if (code == ResultCode::TargetTimeout || code == ResultCode::TargetReplaced)
         this->client->closeIdle(*address);
     this->recordReportedLoad(admission, target, fields);
+    this->recordRateLimit(call, target, code, fields, startedAt);
     admission.release(target, targetResultOf(code, exchange.response), this->clock.now() - startedAt);
     if (code == ResultCode::Answered)
         this->recordLatency(call, this->clock.now() - startedAt);
--- a/src/citronloft/edge/gateway_log.cpp
+++ b/src/citronloft/edge/gateway_log.cpp
@@ -81,4 +81,31 @@
         .with("left_out", suppressedLines);
 }
 
+auto Gateway::logRateLimit(
+    const Call& call, const std::string& target, LimitChange change, std::optional<double> perSecond) -> void
+{
+    auto suppressedLines = std::uint64_t { 0 };
+    if (!this->logLimiter.allow("target-limit", this->clock.now(), suppressedLines))
+        return;
+    LogEvent(LogLevel::Info, "target-limit")
+        .with("target", target)
+        .with("pool", call.pool)
+        .with("change", limitChangeName(change))
+        .with("per_second", perSecond.value_or(0))
+        .with("request", call.fields.requestId)
+        .with("left_out", suppressedLines);
+}
+
+auto Gateway::logMalformedRateLimit(const Call& call, const std::string& target, const absl::Status& reason) -> void
+{
+    auto suppressedLines = std::uint64_t { 0 };
+    if (!this->logLimiter.allow("target-limit-ignored", this->clock.now(), suppressedLines))
+        return;
+    LogEvent(LogLevel::Warning, "target-limit-ignored")
+        .with("target", target)
+        .with("request", call.fields.requestId)
+        .with("reason", std::string { reason.message() })
+        .with("left_out", suppressedLines);
+}
+
 } // namespace citronloft
--- a/src/citronloft/edge/gateway_targets.cpp
+++ b/src/citronloft/edge/gateway_targets.cpp
@@ -153,6 +153,26 @@
     admission.targets().report(target, { inFlight, false }, this->clock.now());
 }
 
+/// Records the rate limit that an answer states. A limit ends only with the answer of a target that ran the request,
+/// since other answers may be sent without the target's state.
+auto Gateway::recordRateLimit(
+    const Call& call, const std::string& target, ResultCode code, const TargetFields& fields, TimePoint sentAt) -> void
+{
+    if (code != ResultCode::Answered && code != ResultCode::TargetShed)
+        return;
+    if (!fields.rateLimit.ok()) {
+        this->logMalformedRateLimit(call, target, fields.rateLimit.status());
+        return;
+    }
+    const auto perSecond = *fields.rateLimit;
+    if (!perSecond && code != ResultCode::Answered)
+        return;
+    auto& targets = this->admissions.at(call.pool)->targets();
+    const auto change = targets.recordRateLimit(target, perSecond, sentAt, this->clock.now());
+    if (change != LimitChange::None)
+        this->logRateLimit(call, target, change, perSecond);
+}
+
 auto Gateway::updateZoneLoads(const std::vector<TargetLoad>& loads) -> void
 {
     const auto now = this->clock.now();
