Names of the header fields that targets send, in the logs

Each process now logs each name of a response field once, 32 names at most (`response-field-seen`).

Test: edge_test ResponseFieldLogTest.

--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -18,6 +18,7 @@
 #include "citronloft/edge/http_client.hpp"
 #include "citronloft/edge/lookup_service.hpp"
 #include "citronloft/edge/pool_admission.hpp"
+#include "citronloft/edge/response_field_log.hpp"
 #include "citronloft/edge/spill_router.hpp"
 #include "citronloft/edge/target_prober.hpp"
 #include "citronloft/fleet/discovery.hpp"
@@ -164,6 +165,7 @@
     /// Smoothed time from sending a request to its response, by route name.
     std::map<std::string, Duration> routeLatencies;
     LogLimiter logLimiter;
+    ResponseFieldLog responseFieldLog;
     std::vector<TargetLoad> publishedLoads;
     TimePoint nextLoadPublishAt {};
     std::shared_ptr<HttpClient> client;
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -374,6 +374,7 @@
         code = ResultCode::TargetShed;
     if (code == ResultCode::TargetTimeout || code == ResultCode::TargetReplaced)
         this->client->closeIdle(*address);
+    this->responseFieldLog.record(target, exchange.response.fields);
     this->recordReportedLoad(admission, target, fields);
     this->recordRateLimit(call, target, code, fields, startedAt);
     admission.release(target, targetResultOf(code, exchange.response), this->clock.now() - startedAt);
