Policy: pacing and choice of senders apart from cold targets

Preparation of the fix for targets that announce a limit, which needs both: the one-token bucket of a cold target becomes RequestPacer, cold_target_senders becomes target_senders (coldRateFraction -> senderRateFraction, ColdTargetSenderOption -> TargetSenderOption).

--- a/include/citronloft/policy/target_pool.hpp
+++ b/include/citronloft/policy/target_pool.hpp
@@ -16,6 +16,7 @@
 #include "citronloft/base/config.hpp"
 #include "citronloft/policy/announced_limit.hpp"
 #include "citronloft/policy/live_target.hpp"
+#include "citronloft/policy/request_pacer.hpp"
 #include "citronloft/policy/target_health.hpp"
 #include "citronloft/policy/target_load.hpp"
 
@@ -209,9 +210,8 @@
         bool reportedDraining = false;
         bool isMisdirected = false;
         AnnouncedLimit announcedLimit;
-        /// Tokens of the bucket that limits requests while the target is cold.
-        double coldTokens = 0;
-        TimePoint coldTokensAt {};
+        /// Spaces requests while the target is cold.
+        RequestPacer pacer;
     };
 
     struct Scored {
@@ -225,7 +225,6 @@
     auto chooseLessLoadedOfTwo(const TargetRequirements& requirements, TimePoint now) -> Member*;
     auto chooseByObject(const TargetRequirements& requirements, std::uint64_t object, TimePoint now) -> Member*;
     auto startRequest(Member& member, TimePoint now) -> std::string;
-    auto refillColdTokens(Member& member, TimePoint now) -> void;
     auto isEligible(Member& member, const TargetRequirements& requirements, TimePoint now) -> bool;
     [[nodiscard]] auto zoneInFlight(const Member& member, TimePoint now) const -> std::uint32_t;
     auto updateOutsideInFlight(Member& member, double outsideInFlight, TimePoint now) -> void;
--- a/src/citronloft/fleet/fleet_host.cpp
+++ b/src/citronloft/fleet/fleet_host.cpp
@@ -7,7 +7,7 @@
 #include <xxhash.h>
 
 #include "citronloft/fleet/slot_map.hpp"
-#include "citronloft/policy/cold_target_senders.hpp"
+#include "citronloft/policy/target_senders.hpp"
 
 namespace citronloft {
 
@@ -424,7 +424,7 @@
         return 0;
     auto hosts = this->demandShares.otherHosts();
     hosts.push_back(self.ip);
-    return coldRateFraction(target, self.ip, hosts);
+    return senderRateFraction(target, self.ip, hosts);
 }
 
 auto FleetHost::applyConfig(const std::shared_ptr<const ActiveConfig>& active) -> void
--- a/src/citronloft/policy/target_pool.cpp
+++ b/src/citronloft/policy/target_pool.cpp
@@ -157,7 +157,7 @@
 {
     ++member.inFlight;
     if (member.live.coldRate > 0 && now < member.live.coldUntil)
-        member.coldTokens -= 1;
+        member.pacer.take();
     return member.key;
 }
 
@@ -173,20 +173,8 @@
         return false;
     if (member.live.coldRate <= 0 || now >= member.live.coldUntil)
         return true;
-    this->refillColdTokens(member, now);
-    return member.coldTokens >= 1;
-}
-
-/// Refills a bucket of one token at this host's share of the cold rate. A new bucket starts empty, since this host may
-/// have sent a request immediately before a restart.
-auto TargetPool::refillColdTokens(Member& member, TimePoint now) -> void
-{
-    const auto rate = this->coldRateShare ? this->coldRateShare(member.live) : member.live.coldRate;
-    if (member.coldTokensAt == TimePoint {})
-        member.coldTokensAt = now;
-    const auto minted = std::chrono::duration<double>(now - member.coldTokensAt).count() * rate;
-    member.coldTokens = std::min(member.coldTokens + minted, 1.0);
-    member.coldTokensAt = now;
+    member.pacer.refill(this->coldRateShare ? this->coldRateShare(member.live) : member.live.coldRate, now);
+    return member.pacer.canSend();
 }
 
 /// Returns a target to use after its ejection without a probe; a single further failure ejects it again.
--- a/src/citronloft/policy/cold_target_senders.cpp
+++ b/src/citronloft/policy/target_senders.cpp
@@ -1,4 +1,4 @@
-#include "citronloft/policy/cold_target_senders.hpp"
+#include "citronloft/policy/target_senders.hpp"
 
 #include <algorithm>
 #include <cstdint>
@@ -8,8 +8,8 @@
 
 namespace citronloft {
 
-auto coldRateFraction(const std::string& target, const std::string& self, const std::vector<std::string>& hosts,
-    ColdTargetSenderOption option) -> double
+auto senderRateFraction(const std::string& target, const std::string& self, const std::vector<std::string>& hosts,
+    TargetSenderOption option) -> double
 {
     auto candidates = std::vector<std::pair<std::uint64_t, std::string>> {};
     for (const auto& host : hosts)
--- a/src/citronloft/policy/cold_target_senders_test.cpp
+++ b/src/citronloft/policy/target_senders_test.cpp
@@ -1,7 +1,7 @@
 #include <gtest/gtest.h>
 
-#include "citronloft/policy/cold_target_senders.hpp"
 #include "citronloft/policy/recent_maximum.hpp"
+#include "citronloft/policy/target_senders.hpp"
 
 namespace citronloft {
 namespace {
@@ -16,13 +16,13 @@
     return names;
 }
 
-TEST(ColdTargetSendersTest, FractionsOfAllHostsSumToTheUsedFraction)
+TEST(TargetSendersTest, FractionsOfAllHostsSumToTheUsedFraction)
 {
     const auto hosts = hostNames(16);
     auto sum = 0.0;
     auto senderCount = 0;
     for (const auto& host : hosts) {
-        const auto fraction = coldRateFraction("run-1", host, hosts);
+        const auto fraction = senderRateFraction("run-1", host, hosts);
         sum += fraction;
         senderCount += fraction > 0 ? 1 : 0;
     }
@@ -30,10 +30,10 @@
     EXPECT_NEAR(sum, 0.8, 1e-9);
 }
 
-TEST(ColdTargetSendersTest, FewHostsSendNoMoreThanTheirFractions)
+TEST(TargetSendersTest, FewHostsSendNoMoreThanTheirFractions)
 {
-    EXPECT_NEAR(coldRateFraction("run-1", "10.1.0.0", hostNames(1)), 0.8 / 3, 1e-9);
-    EXPECT_EQ(coldRateFraction("run-1", "10.2.0.0", hostNames(2)), 0);
+    EXPECT_NEAR(senderRateFraction("run-1", "10.1.0.0", hostNames(1)), 0.8 / 3, 1e-9);
+    EXPECT_EQ(senderRateFraction("run-1", "10.2.0.0", hostNames(2)), 0);
 }
 
 TEST(RecentMaximumTest, MaximumExpiresAfterTwoPeriods)
