Targets that announce a limit get no more than that from all hosts together

Cause: no code read the limit. Hosts chose targets by load and slots alone, and a target in need, which takes few requests, looks idle. Evidence: arrivals at the two targets did not change when they began to name limits, and the header's name was in no source.

Ruled out: that each host kept to the whole limit (arrivals would lie near it wherever one host sends most) and late or lost knowledge (arrivals never fell).

Change: the pool spaces requests to such a target at this host's share of the limit. The shares: a few hosts of the target's zone, chosen by rendezvous hashing, 0.8 of the limit together; all others none. The latest observation of any host counts; LimitExchange carries observations within the zone and, through delegates, to the other zones, so that hosts that send nothing learn of the end. Old knowledge is shared evenly by the fleet, limits outlive a lapsed entry, and a limited target counts as rate x service time in the estimates that decide who waits.

New cases: a falling limit, entries that lapse, use of at least half of the limit, knowledge on all hosts 3 s after start and end.

Why this works: the sum of all shares is below the limit whatever the number of hosts, and each sender adds one request of burst, 3 + limit at most, below the 5 + 2 x limit that the rule leaves.

--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -79,6 +79,12 @@
     /// @brief Sets the function that computes this host's share of a cold target's request rate.
     auto setColdRateShare(TargetPool::ColdRateShare hostShare) -> void;
 
+    /// @brief Sets the function that computes this host's share of the limit that a target announces.
+    auto setLimitShare(TargetPool::LimitShare hostShare) -> void;
+
+    /// @brief Updates the limits of targets from the observations of other hosts.
+    auto mergeLimits(const std::vector<LimitObservation>& observations) -> void;
+
     /// @brief Handles one request.
     auto handle(HttpRequest& request, CallerContext& caller, boost::asio::yield_context yield) -> HttpResponse;
 
@@ -142,8 +148,8 @@
     auto recordReportedLoad(PoolAdmission& admission, const std::string& target, const TargetFields& fields) -> void;
     auto recordRateLimit(const Call& call, const std::string& target, ResultCode code, const TargetFields& fields,
         TimePoint sentAt) -> void;
-    auto logRateLimit(const Call& call, const std::string& target, LimitChange change, std::optional<double> perSecond)
-        -> void;
+    auto reportLimits() -> void;
+    auto logRateLimit(const LimitUpdate& update, const std::string& pool, std::string_view source) -> void;
     auto logMalformedRateLimit(const Call& call, const std::string& target, const absl::Status& reason) -> void;
     auto logFailure(const HttpRequest& request, const CallResult& result, Duration took) -> void;
     [[nodiscard]] auto teamOf(std::string_view key) const -> const Team*;
@@ -159,6 +165,7 @@
     LookupService lookup;
     std::map<std::string, RetryBudget> retryBudgets;
     TargetPool::ColdRateShare coldRateShare;
+    TargetPool::LimitShare limitShare;
     DiscoveredTargets discovered;
     std::set<std::string> evacuatedZones;
     pcg32 random;
--- a/include/citronloft/fleet/fleet_host.hpp
+++ b/include/citronloft/fleet/fleet_host.hpp
@@ -10,6 +10,7 @@
 #include "citronloft/fleet/claim_registry.hpp"
 #include "citronloft/fleet/config_follower.hpp"
 #include "citronloft/fleet/host_registry.hpp"
+#include "citronloft/fleet/limit_exchange.hpp"
 #include "citronloft/fleet/membership.hpp"
 #include "citronloft/fleet/rate_limiter.hpp"
 #include "citronloft/fleet/slot_lease_holder.hpp"
@@ -99,6 +100,7 @@
     auto membership() -> Membership& { return this->members; }
     [[nodiscard]] auto membership() const -> const Membership& { return this->members; }
     auto rates() -> RateLimiter& { return this->limiter; }
+    auto limits() -> LimitExchange& { return this->limitExchange; }
     auto claims() -> ClaimRegistry& { return *this->claimRegistry; }
     auto config() -> ConfigFollower& { return *this->follower; }
     [[nodiscard]] auto shares() const -> const SlotLeaseHolder& { return *this->holder; }
@@ -144,6 +146,14 @@
     /// @param target identifier of the target's run; the target is in zone `zone`.
     [[nodiscard]] auto coldTargetFraction(const std::string& zone, const std::string& target) const -> double;
 
+    /// @return the fraction of the limit that a target announces which this host can use.
+    /// @param target identifier of the target's run; the target is in zone `zone`.
+    /// @param perSecond the limit, in requests per second.
+    /// @param isRecent whether the limit was observed recently. If so, a few hosts of the target's zone share it; if
+    /// not, all hosts of the fleet do, since these few may have no requests for the target.
+    [[nodiscard]] auto limitedTargetFraction(
+        const std::string& zone, const std::string& target, double perSecond, bool isRecent) const -> double;
+
     /// @return the fraction of the zone's slots that this host holds, from 0 to 1.
     [[nodiscard]] auto zoneSlotFraction() const -> double;
 
@@ -157,6 +167,7 @@
     auto updateRateFractions(TimePoint now) -> void;
     auto sendToZone(DemandNotice notice) -> void;
     auto sendZoneDemand(TimePoint now) -> void;
+    [[nodiscard]] auto registeredZoneHosts() const -> std::vector<std::string>;
     auto processDemandNotice(const Address& from, const DemandNotice& notice, TimePoint now) -> void;
     auto processZoneDemandNotice(const ZoneDemandNotice& notice, TimePoint now) -> void;
     [[nodiscard]] auto recordSequence(std::uint64_t sender, std::uint64_t sequence) -> bool;
@@ -168,6 +179,7 @@
     RecentMaximum recentMaxHosts;
     bool isRegistryRead = false;
     Membership members;
+    LimitExchange limitExchange;
     std::unique_ptr<LenderDirectory> lenders;
     std::shared_ptr<SlotLeaseHolder> holder;
     RateLimiter limiter;
--- a/include/citronloft/fleet/messages.hpp
+++ b/include/citronloft/fleet/messages.hpp
@@ -323,9 +323,41 @@
     template <typename Archive> auto serialize(Archive& archive) -> void { archive(this->kind, this->since); }
 };
 
-/// @brief Any message between hosts.
+/// @brief Observation of a target's announced limit.
+struct LimitReport {
+    /// Hash of the target's key.
+    std::uint64_t target = 0;
+    /// Requests per second; nothing if the target states no limit.
+    std::optional<double> perSecond;
+    /// Time between the target's answer and the sending of the notice, in milliseconds.
+    std::uint32_t ageMs = 0;
+
+    template <typename Archive> auto serialize(Archive& archive) -> void
+    {
+        archive(this->target, this->perSecond, this->ageMs);
+    }
+};
+
+/// @brief Observations of targets' limits, from one host to its zone or from a zone to the other zones.
+struct LimitNotice {
+    std::uint64_t sender = 0;
+    std::uint64_t sequence = 0;
+    /// Zone of the hosts that made the observations.
+    std::string zone;
+    /// True if a host of the receiver's zone forwarded the notice.
+    bool isRelayed = false;
+    std::vector<LimitReport> reports;
+
+    template <typename Archive> auto serialize(Archive& archive) -> void
+    {
+        archive(this->sender, this->sequence, this->zone, this->isRelayed, this->reports);
+    }
+};
+
+/// @brief Any message between hosts. New types are added at the end, so that hosts of an older version discard only
+/// these.
 using PeerMessage = std::variant<GossipMessage, RenewRequest, RenewGrant, LoanRequest, LoanGrant, ConfigNotice,
-    LoadNotice, DemandNotice, ZoneDemandNotice, ZoneLoadNotice, FeedNotice>;
+    LoadNotice, DemandNotice, ZoneDemandNotice, ZoneLoadNotice, FeedNotice, LimitNotice>;
 
 /// @brief Sends messages to other hosts. Messages can be lost, duplicated, reordered or delayed.
 class PeerTransport {
--- a/include/citronloft/policy/target_pool.hpp
+++ b/include/citronloft/policy/target_pool.hpp
@@ -95,6 +95,14 @@
     std::vector<std::string> regions;
 };
 
+/// @brief Change of a target's announced limit.
+struct LimitUpdate {
+    /// Key of the target.
+    std::string target;
+    LimitChange change = LimitChange::None;
+    std::optional<double> perSecond;
+};
+
 /// @brief State of a target for status pages.
 struct TargetView {
     std::string address;
@@ -114,6 +122,12 @@
     /// @brief Returns the maximum rate, in requests per second, at which this host can send to a cold target.
     using ColdRateShare = std::function<double(const LiveTarget&)>;
 
+    /// @brief Returns the maximum rate, in requests per second, at which this host can send to a target that announces
+    /// a limit.
+    /// @param perSecond the target's limit on the requests of all hosts together.
+    /// @param isRecent whether any host has observed the limit recently.
+    using LimitShare = std::function<double(const LiveTarget& target, double perSecond, bool isRecent)>;
+
     TargetPool(TargetPoolOption option, std::uint64_t seed);
 
     /// @brief Sets the targets from a static configuration; targets that remain keep their state.
@@ -129,6 +143,10 @@
     /// used.
     auto setColdRateShare(ColdRateShare share) -> void { this->coldRateShare = std::move(share); }
 
+    /// @brief Sets the function that returns this host's share of a target's announced limit; by default, the full
+    /// limit is used.
+    auto setLimitShare(LimitShare share) -> void { this->limitShare = std::move(share); }
+
     /// @brief Chooses a target with a free slot and counts the request as in flight there.
     /// @param avoid key of a target to use only if there is no other; empty for none. Used for retries.
     /// @return key of the target, or nothing if no usable target has a free slot.
@@ -147,6 +165,13 @@
     auto recordRateLimit(const std::string& key, std::optional<double> perSecond, TimePoint sentAt, TimePoint now)
         -> LimitChange;
 
+    /// @brief Updates limits from the observations of other hosts; those of other pools' targets are skipped.
+    /// @return the targets whose limit has changed.
+    auto mergeLimits(const std::vector<LimitObservation>& observations, TimePoint now) -> std::vector<LimitUpdate>;
+
+    /// @return this host's observations of limits since the last call.
+    auto takeLimitObservations() -> std::vector<LimitObservation>;
+
     /// @return limit in requests per second that a target announces; nothing if there is none.
     [[nodiscard]] auto announcedLimit(const std::string& key) const -> std::optional<double>;
 
@@ -210,8 +235,19 @@
         bool reportedDraining = false;
         bool isMisdirected = false;
         AnnouncedLimit announcedLimit;
-        /// Spaces requests while the target is cold.
+        /// Spaces requests while the target is cold or announces a limit.
         RequestPacer pacer;
+        /// This host's share of the announced limit, computed again at `limitShareExpiresAt`.
+        mutable double limitShare = 0;
+        mutable TimePoint limitShareExpiresAt {};
+        /// Whether this host has an observation of the limit that it has not sent to the other hosts.
+        bool hasLimitObservation = false;
+    };
+
+    /// Limit of a target that is no longer in the pool and may return.
+    struct DepartedLimit {
+        AnnouncedLimit limit;
+        TimePoint expiresAt;
     };
 
     struct Scored {
@@ -225,6 +261,14 @@
     auto chooseLessLoadedOfTwo(const TargetRequirements& requirements, TimePoint now) -> Member*;
     auto chooseByObject(const TargetRequirements& requirements, std::uint64_t object, TimePoint now) -> Member*;
     auto startRequest(Member& member, TimePoint now) -> std::string;
+    auto retainLimits(TimePoint now) -> void;
+    auto restoreLimit(Member& member) -> void;
+    auto applyLimitChange(Member& member, LimitChange change, TimePoint now) -> void;
+    [[nodiscard]] auto isCold(const Member& member, TimePoint now) const -> bool;
+    [[nodiscard]] auto isRateLimited(const Member& member, TimePoint now) const -> bool;
+    [[nodiscard]] auto rateOf(const Member& member, TimePoint now) const -> double;
+    [[nodiscard]] auto limitShareOf(const Member& member, TimePoint now) const -> double;
+    [[nodiscard]] auto freeSlotsOf(const Member& member, TimePoint now) const -> std::uint32_t;
     auto isEligible(Member& member, const TargetRequirements& requirements, TimePoint now) -> bool;
     [[nodiscard]] auto zoneInFlight(const Member& member, TimePoint now) const -> std::uint32_t;
     auto updateOutsideInFlight(Member& member, double outsideInFlight, TimePoint now) -> void;
@@ -247,6 +291,10 @@
     /// Candidate targets of the current request's object; a member to avoid an allocation per request.
     std::vector<Scored> scored;
     ColdRateShare coldRateShare;
+    LimitShare limitShare;
+    /// By key of the target.
+    std::unordered_map<std::string, DepartedLimit> departedLimits;
+    std::vector<std::string> unreportedLimits;
     double hostFraction = 1;
     Duration meanLatency = std::chrono::milliseconds { 5 };
 };
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -146,6 +146,11 @@
     this->gateway->setColdRateShare([this](const LiveTarget& target) {
         return target.coldRate * this->fleet->coldTargetFraction(target.target.zone, target.instance);
     });
+    this->gateway->setLimitShare([this](const LiveTarget& target, double perSecond, bool isRecent) {
+        return perSecond * this->fleet->limitedTargetFraction(target.target.zone, target.instance, perSecond, isRecent);
+    });
+    this->fleet->limits().onObservations(
+        [this](const std::vector<LimitObservation>& observations) { this->gateway->mergeLimits(observations); });
     auto listener = DiscoveryListener {};
     listener.onConfig = [this](ActiveConfig active) {
         this->fleet->config().applyPlatformConfig(active.version, std::move(active.config));
--- a/scripts/campaign.sh
+++ b/scripts/campaign.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Runs a randomized fault campaign over many seeds in parallel and prints each seed that fails.
 # usage: scripts/campaign.sh FIRST LAST [SUITE]      SUITE: RateBound (leases, default), DemandBound or
-#        SharedLimits (retries, cold targets) or WithdrawalBound (drains, evacuations, configurations)
+#        SharedLimits (retries, cold targets), WithdrawalBound (drains, evacuations, configurations) or
+#        AnnouncedLimitBound (limits that targets announce)
 set -euo pipefail
 cd "$(dirname "$0")/.."
 first="${1:-1}"
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -100,6 +100,7 @@
             admission = std::make_unique<PoolAdmission>(this->context, this->clock, makeQueue(this->option.queueLimits),
                 TargetPool(this->option.targets, randomId()));
             admission->targets().setColdRateShare(this->coldRateShare);
+            admission->targets().setLimitShare(this->limitShare);
         }
         this->applyTargets(pool);
     }
@@ -417,8 +418,10 @@
         headroom.push_back({ static_cast<std::uint32_t>(bucketId(name)), static_cast<std::uint16_t>(room) });
     }
     this->fleet.membership().setHeadroom(std::move(headroom));
-    if (this->option.discoversTargets)
-        this->publishLoads(now);
+    if (!this->option.discoversTargets)
+        return;
+    this->publishLoads(now);
+    this->reportLimits();
 }
 
 auto Gateway::probeTargets(boost::asio::yield_context yield) -> void
--- a/src/citronloft/edge/gateway_log.cpp
+++ b/src/citronloft/edge/gateway_log.cpp
@@ -81,18 +81,18 @@
         .with("left_out", suppressedLines);
 }
 
-auto Gateway::logRateLimit(
-    const Call& call, const std::string& target, LimitChange change, std::optional<double> perSecond) -> void
+/// @param source id of the request whose answer stated the limit, or "peer" if another host received the answer.
+auto Gateway::logRateLimit(const LimitUpdate& update, const std::string& pool, std::string_view source) -> void
 {
     auto suppressedLines = std::uint64_t { 0 };
     if (!this->logLimiter.allow("target-limit", this->clock.now(), suppressedLines))
         return;
     LogEvent(LogLevel::Info, "target-limit")
-        .with("target", target)
-        .with("pool", call.pool)
-        .with("change", limitChangeName(change))
-        .with("per_second", perSecond.value_or(0))
-        .with("request", call.fields.requestId)
+        .with("target", update.target)
+        .with("pool", pool)
+        .with("change", limitChangeName(update.change))
+        .with("per_second", update.perSecond.value_or(0))
+        .with("source", source)
         .with("left_out", suppressedLines);
 }
 
--- a/src/citronloft/edge/gateway_targets.cpp
+++ b/src/citronloft/edge/gateway_targets.cpp
@@ -66,6 +66,13 @@
         admission->targets().setColdRateShare(this->coldRateShare);
 }
 
+auto Gateway::setLimitShare(TargetPool::LimitShare hostShare) -> void
+{
+    this->limitShare = std::move(hostShare);
+    for (auto& [name, admission] : this->admissions)
+        admission->targets().setLimitShare(this->limitShare);
+}
+
 /// Sets the targets of a pool. Without discovery a host uses only the targets of its own zone; other zones are reached
 /// through their hosts.
 auto Gateway::applyTargets(const Pool& pool) -> void
@@ -170,7 +177,21 @@
     auto& targets = this->admissions.at(call.pool)->targets();
     const auto change = targets.recordRateLimit(target, perSecond, sentAt, this->clock.now());
     if (change != LimitChange::None)
-        this->logRateLimit(call, target, change, perSecond);
+        this->logRateLimit({ target, change, perSecond }, call.pool, call.fields.requestId);
+}
+
+auto Gateway::mergeLimits(const std::vector<LimitObservation>& observations) -> void
+{
+    for (auto& [pool, admission] : this->admissions) {
+        for (const auto& update : admission->targets().mergeLimits(observations, this->clock.now()))
+            this->logRateLimit(update, pool, "peer");
+    }
+}
+
+auto Gateway::reportLimits() -> void
+{
+    for (auto& [pool, admission] : this->admissions)
+        this->fleet.limits().report(admission->targets().takeLimitObservations());
 }
 
 auto Gateway::updateZoneLoads(const std::vector<TargetLoad>& loads) -> void
--- a/src/citronloft/fleet/announced_limit_bound_test.cpp
+++ b/src/citronloft/fleet/announced_limit_bound_test.cpp
@@ -27,7 +27,9 @@
     TimePoint announcedAt {};
     /// Time at which each host received the first answer with the limit.
     std::map<std::size_t, TimePoint> toldAt;
+    /// Requests from hosts that are bound by the limit.
     SlidingCount requests { limitWindow };
+    std::size_t received = 0;
 
     [[nodiscard]] auto bound() const -> double
     {
@@ -61,11 +63,52 @@
         this->load(6s);
     }
 
+    auto limitOf(std::size_t target) -> SimulatedLimit& { return this->limits.at(this->targets[target].key()); }
+
     auto announce(std::size_t target, double perSecond) -> void
     {
-        auto& limit = this->limits.at(this->targets[target].key());
-        limit.perSecond = perSecond;
-        limit.announcedAt = this->world->events.now();
+        this->limitOf(target).perSecond = perSecond;
+        this->limitOf(target).announcedAt = this->world->events.now();
+    }
+
+    auto endLimit(std::size_t target) -> void
+    {
+        this->limitOf(target).perSecond.reset();
+        this->limitOf(target).toldAt.clear();
+    }
+
+    auto hostsWithLimit(std::size_t target) const -> std::ptrdiff_t
+    {
+        const auto key = this->targets[target].key();
+        return std::ranges::count_if(
+            this->pools, [&](const auto& item) { return item.second->announcedLimit(key).has_value(); });
+    }
+
+    /// Returns the rate of requests to a target while requests are sent for `duration`.
+    auto measureRate(std::size_t target, Duration duration) -> double
+    {
+        const auto before = this->limitOf(target).received;
+        this->load(duration);
+        const auto received = static_cast<double>(this->limitOf(target).received - before);
+        return received / std::chrono::duration<double>(duration).count();
+    }
+
+    /// The targets leave the pool of each host and return, as when their entries in the store lapse.
+    auto dropTargets() -> void
+    {
+        for (auto& [index, pool] : this->pools) {
+            const auto now = this->world->nodes[index]->clock->now();
+            pool->setLiveTargets({}, now);
+            pool->setLiveTargets(this->targetsFor(index), now);
+        }
+    }
+
+    auto targetsFor(std::size_t index) const -> std::vector<LiveTarget>
+    {
+        auto list = this->targets;
+        for (auto& live : list)
+            live.weight = live.target.zone == this->world->nodes[index]->zone ? localWeight : remoteWeight;
+        return list;
     }
 
     auto poolOf(std::size_t index) -> TargetPool&
@@ -76,10 +119,14 @@
         auto& node = *this->world->nodes[index];
         auto& pool
             = *this->pools.emplace(index, std::make_unique<TargetPool>(discoveredPoolOption(), index)).first->second;
-        auto list = this->targets;
-        for (auto& live : list)
-            live.weight = live.target.zone == node.zone ? localWeight : remoteWeight;
-        pool.setLiveTargets(list, node.clock->now());
+        pool.setLiveTargets(this->targetsFor(index), node.clock->now());
+        auto& fleet = *node.host;
+        pool.setLimitShare([&fleet](const LiveTarget& target, double perSecond, bool isRecent) {
+            return perSecond * fleet.limitedTargetFraction(target.target.zone, target.instance, perSecond, isRecent);
+        });
+        fleet.limits().onObservations([&pool, &node](const std::vector<LimitObservation>& observations) {
+            pool.mergeLimits(observations, node.clock->now());
+        });
         return pool;
     }
 
@@ -118,6 +165,7 @@
     auto countArrival(std::size_t index, SimulatedLimit& limit) -> void
     {
         const auto now = this->world->events.now();
+        ++limit.received;
         const auto told = limit.toldAt.find(index);
         const auto isBinding = limit.perSecond && now >= limit.announcedAt + stableTime;
         if (!isBinding || told == limit.toldAt.end() || now < told->second + noticeTime || this->isExcused(index))
@@ -142,6 +190,7 @@
         const auto now = node.clock->now();
         auto& pool = this->poolOf(index);
         pool.recordRateLimit(key, limit.perSecond, sentAt, now);
+        node.host->limits().report(pool.takeLimitObservations());
         pool.release(key, TargetResult::Answered, serviceTime, now);
     }
 
@@ -263,6 +312,43 @@
     this->expectBound();
 }
 
+/// Hosts forget what they know of targets whose entries lapse while the store is unavailable.
+TEST_P(AnnouncedLimitBound, HoldsWhenTargetsLeaveAndReturn)
+{
+    this->announce(0, 2.2);
+    this->announce(4, 1.1);
+    for (auto round = 0; round < 6; ++round) {
+        this->load(5s);
+        this->dropTargets();
+    }
+    this->expectBound();
+}
+
+/// A lower limit binds as soon as hosts can know of it.
+TEST_P(AnnouncedLimitBound, HoldsWhenTheLimitFalls)
+{
+    this->announce(0, 6);
+    this->load(10s);
+    this->announce(0, 1.1);
+    this->load(20s);
+    this->expectBound();
+}
+
+/// Most hosts send nothing to a limited target, yet all of them return to it when the limit ends.
+TEST_P(AnnouncedLimitBound, LimitIsUsedAndItsEndReachesAllHosts)
+{
+    const auto usual = this->measureRate(0, 20s);
+    EXPECT_EQ(this->hostsWithLimit(0), 0) << "seed " << this->seed;
+    this->announce(0, 2.2);
+    this->load(3s);
+    EXPECT_EQ(this->hostsWithLimit(0), std::ssize(this->pools)) << "seed " << this->seed;
+    EXPECT_GE(this->measureRate(0, 60s), 1.1) << "seed " << this->seed;
+    this->endLimit(0);
+    this->load(3s);
+    EXPECT_EQ(this->hostsWithLimit(0), 0) << "seed " << this->seed;
+    EXPECT_GE(this->measureRate(0, 20s), usual * 0.8) << "seed " << this->seed;
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, AnnouncedLimitBound, testing::ValuesIn(campaignSeeds()));
 
 } // namespace
--- a/src/citronloft/fleet/fleet_host.cpp
+++ b/src/citronloft/fleet/fleet_host.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 #include <xxhash.h>
@@ -131,6 +132,7 @@
     , demandShares({}, self.ip)
     , recentMaxHosts(hostCountMemory)
     , members(option.membership, self, dependencies.transport, seed)
+    , limitExchange(members, dependencies.transport)
     , lenders(std::make_unique<LenderDirectory>(members))
     , holder(std::make_shared<SlotLeaseHolder>(
           option.lease, self.incarnation, dependencies.clock, members, dependencies.transport, dependencies.store))
@@ -168,6 +170,7 @@
     if (this->option.shares == ShareStrategy::Demand)
         this->announceDemands(now);
     this->relayLoads(now);
+    this->limitExchange.tick(this->noticeSequence, now);
 }
 
 auto FleetHost::updateSlots(TimePoint now) -> void
@@ -306,6 +309,9 @@
     } else if (const auto* feed = std::get_if<FeedNotice>(&message)) {
         if (this->recordSequence(feed->sender, feed->sequence) && this->feedNoticeHandler)
             this->feedNoticeHandler(from, *feed);
+    } else if (const auto* limits = std::get_if<LimitNotice>(&message)) {
+        if (this->recordSequence(limits->sender, limits->sequence))
+            this->limitExchange.receive(*limits, now);
     } else if (const auto* demand = std::get_if<DemandNotice>(&message)) {
         this->processDemandNotice(from, *demand, now);
     } else if (const auto* zoneDemand = std::get_if<ZoneDemandNotice>(&message)) {
@@ -415,16 +421,37 @@
     return static_cast<double>(slots) / slotsPerZone;
 }
 
-/// Hosts that are remembered but not heard from are counted too: a host that is unreachable from here may continue to
+/// Hosts that are remembered but not heard from are included: a host that is unreachable from here may continue to
 /// send.
+auto FleetHost::registeredZoneHosts() const -> std::vector<std::string>
+{
+    auto hosts = this->demandShares.otherHosts();
+    hosts.push_back(this->members.self().ip);
+    return hosts;
+}
+
 auto FleetHost::coldTargetFraction(const std::string& zone, const std::string& target) const -> double
 {
     const auto& self = this->members.self();
     if (!this->isRegistryRead || zone != self.zone)
         return 0;
-    auto hosts = this->demandShares.otherHosts();
-    hosts.push_back(self.ip);
-    return senderRateFraction(target, self.ip, hosts);
+    return senderRateFraction(target, self.ip, this->registeredZoneHosts());
+}
+
+auto FleetHost::limitedTargetFraction(
+    const std::string& zone, const std::string& target, double perSecond, bool isRecent) const -> double
+{
+    auto option = TargetSenderOption {};
+    if (!isRecent)
+        return option.usedFraction / static_cast<double>(this->recentMaxHosts.value());
+    const auto& self = this->members.self();
+    if (!this->isRegistryRead || zone != self.zone)
+        return 0;
+    const auto hosts = this->registeredZoneHosts();
+    // Each sender adds a burst of one request, which a higher limit tolerates more of.
+    const auto senders = static_cast<double>(option.senderCount) + std::floor(perSecond);
+    option.senderCount = static_cast<std::size_t>(std::min(senders, static_cast<double>(hosts.size())));
+    return senderRateFraction(target, self.ip, hosts, option);
 }
 
 auto FleetHost::applyConfig(const std::shared_ptr<const ActiveConfig>& active) -> void
--- a/src/citronloft/policy/target_pool.cpp
+++ b/src/citronloft/policy/target_pool.cpp
@@ -72,11 +72,13 @@
             member.key = key;
             member.hash = XXH3_64bits(key.data(), key.size());
             member.rampStartedAt = now;
+            this->restoreLimit(member);
         }
         member.live = live;
         this->updateDrain(member);
         kept.push_back(std::move(member));
     }
+    this->retainLimits(now);
     this->members = std::move(kept);
     this->indexByKey.clear();
     this->indexByHash.clear();
@@ -156,7 +158,7 @@
 auto TargetPool::startRequest(Member& member, TimePoint now) -> std::string
 {
     ++member.inFlight;
-    if (member.live.coldRate > 0 && now < member.live.coldUntil)
+    if (this->isRateLimited(member, now))
         member.pacer.take();
     return member.key;
 }
@@ -171,9 +173,9 @@
     const auto& regions = requirements.regions;
     if (!regions.empty() && std::ranges::find(regions, member.live.region) == regions.end())
         return false;
-    if (member.live.coldRate <= 0 || now >= member.live.coldUntil)
+    if (!this->isRateLimited(member, now))
         return true;
-    member.pacer.refill(this->coldRateShare ? this->coldRateShare(member.live) : member.live.coldRate, now);
+    member.pacer.refill(this->rateOf(member, now), now);
     return member.pacer.canSend();
 }
 
@@ -237,27 +239,44 @@
 
 auto TargetPool::hasUsableTarget(TimePoint now) const -> bool
 {
-    return std::ranges::any_of(this->members,
-        [&](const Member& member) { return this->acceptsRequests(member) && this->limitOf(member, now) > 0; });
+    return std::ranges::any_of(this->members, [&](const Member& member) {
+        const auto hasRate = !member.announcedLimit.perSecond() || this->limitShareOf(member, now) > 0;
+        return this->acceptsRequests(member) && this->limitOf(member, now) > 0 && hasRate;
+    });
 }
 
 auto TargetPool::freeSlots(TimePoint now) const -> std::uint32_t
 {
     auto sum = std::uint32_t { 0 };
-    for (const auto& member : this->members) {
-        const auto limit = this->limitOf(member, now);
-        if (this->acceptsRequests(member) && member.inFlight < limit)
-            sum += limit - member.inFlight;
-    }
+    for (const auto& member : this->members)
+        sum += this->acceptsRequests(member) ? this->freeSlotsOf(member, now) : 0;
     return sum;
 }
 
+auto TargetPool::freeSlotsOf(const Member& member, TimePoint now) const -> std::uint32_t
+{
+    const auto limit = this->limitOf(member, now);
+    const auto free = limit - std::min(limit, member.inFlight);
+    if (!member.announcedLimit.perSecond())
+        return free;
+    return member.pacer.canSendAt(this->limitShareOf(member, now), now) ? std::min(free, 1U) : 0;
+}
+
 auto TargetPool::totalSlots(TimePoint now) const -> std::uint32_t
 {
     auto sum = std::uint32_t { 0 };
-    for (const auto& member : this->members)
-        sum += this->acceptsRequests(member) ? this->limitOf(member, now) : 0;
-    return sum;
+    auto limitedRate = 0.0;
+    for (const auto& member : this->members) {
+        if (!this->acceptsRequests(member))
+            continue;
+        if (member.announcedLimit.perSecond())
+            limitedRate += this->limitShareOf(member, now);
+        else
+            sum += this->limitOf(member, now);
+    }
+    // A rate keeps rate x service time requests in flight.
+    const auto serviceSeconds = std::chrono::duration<double>(this->meanLatency).count();
+    return sum + static_cast<std::uint32_t>(std::ceil(limitedRate * serviceSeconds));
 }
 
 auto TargetPool::inFlight() const -> std::size_t
@@ -271,7 +290,7 @@
 auto TargetPool::hasFreeCapacity(TimePoint now) const -> bool
 {
     return std::ranges::any_of(this->members, [&](const Member& member) {
-        return this->acceptsRequests(member) && member.inFlight < this->limitOf(member, now)
+        return this->acceptsRequests(member) && this->freeSlotsOf(member, now) > 0
             && this->loadOf(member, now) < 1 + this->option.maxTargetQueueFraction;
     });
 }
--- a/src/citronloft/policy/target_pool_loads.cpp
+++ b/src/citronloft/policy/target_pool_loads.cpp
@@ -30,19 +30,6 @@
     this->updateDrain(*member);
 }
 
-auto TargetPool::recordRateLimit(
-    const std::string& key, std::optional<double> perSecond, TimePoint sentAt, TimePoint now) -> LimitChange
-{
-    auto* member = this->find(key);
-    return member == nullptr ? LimitChange::None : member->announcedLimit.record(perSecond, sentAt, now);
-}
-
-auto TargetPool::announcedLimit(const std::string& key) const -> std::optional<double>
-{
-    const auto* member = this->find(key);
-    return member == nullptr ? std::nullopt : member->announcedLimit.perSecond();
-}
-
 /// Returns the load as a multiple of the target's slots. In-flight requests of this host and its zone are counted
 /// exactly; those from outside the zone are estimated from reports.
 auto TargetPool::loadOf(const Member& member, TimePoint now) const -> double
