--- a/include/citronloft/edge/dialect.hpp
+++ b/include/citronloft/edge/dialect.hpp
@@ -59,8 +59,6 @@
     /// Maximum rate in requests per second that the target accepts from all hosts together; nothing if the response
     /// states none, an error if it cannot be parsed.
     absl::StatusOr<std::optional<double>> rateLimit = std::optional<double> {};
-    /// Time for which the target stays cold; absent if the target does not report it.
-    std::optional<std::chrono::milliseconds> coldFor;
 };
 
 /// @brief Parameters of a lookup.
