Failures of a target do not end the limit that it announced

Found by reading: any answered request without the field ended a limit, also a 500, which may come without the target's state. All hosts would then return to a target that is still in need until its next good answer.

Change: only a response below 400 ends a limit; any response of the right target can announce one.

--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -146,8 +146,8 @@
     auto finishWithoutTarget(Call& call, std::optional<ResultCode> uncertainResult, ResultCode refusal,
         unsigned attempt, boost::asio::yield_context yield) -> CallResult;
     auto recordReportedLoad(PoolAdmission& admission, const std::string& target, const TargetFields& fields) -> void;
-    auto recordRateLimit(const Call& call, const std::string& target, ResultCode code, const TargetFields& fields,
-        TimePoint sentAt) -> void;
+    auto recordRateLimit(const Call& call, const std::string& target, ResultCode code, const HttpResponse& response,
+        const TargetFields& fields, TimePoint sentAt) -> void;
     auto reportLimits() -> void;
     auto logRateLimit(const LimitUpdate& update, const std::string& pool, std::string_view source) -> void;
     auto logMalformedRateLimit(const Call& call, const std::string& target, const absl::Status& reason) -> void;
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -377,7 +377,7 @@
         this->client->closeIdle(*address);
     this->responseFieldLog.record(target, exchange.response.fields);
     this->recordReportedLoad(admission, target, fields);
-    this->recordRateLimit(call, target, code, fields, startedAt);
+    this->recordRateLimit(call, target, code, exchange.response, fields, startedAt);
     admission.release(target, targetResultOf(code, exchange.response), this->clock.now() - startedAt);
     if (code == ResultCode::Answered)
         this->recordLatency(call, this->clock.now() - startedAt);
--- a/src/citronloft/edge/gateway_targets.cpp
+++ b/src/citronloft/edge/gateway_targets.cpp
@@ -16,6 +16,9 @@
 constexpr auto maxLoadPublishInterval = std::chrono::milliseconds { 150 };
 constexpr auto loadRefreshInterval = std::chrono::milliseconds { 300 };
 
+/// Lowest status of a response that reports an error of the caller or the target.
+constexpr auto firstErrorStatus = 400U;
+
 const auto allRegions = std::vector<std::string> {};
 
 auto randomHash(pcg32& random) -> std::uint64_t { return (std::uint64_t { random() } << 32U) | random(); }
@@ -160,10 +163,10 @@
     admission.targets().report(target, { inFlight, false }, this->clock.now());
 }
 
-/// Records the rate limit that an answer states. A limit ends only with the answer of a target that ran the request,
-/// since other answers may be sent without the target's state.
-auto Gateway::recordRateLimit(
-    const Call& call, const std::string& target, ResultCode code, const TargetFields& fields, TimePoint sentAt) -> void
+/// Records the rate limit that a response states. Only a successful response ends a limit, since a failure may come
+/// without the target's state.
+auto Gateway::recordRateLimit(const Call& call, const std::string& target, ResultCode code,
+    const HttpResponse& response, const TargetFields& fields, TimePoint sentAt) -> void
 {
     if (code != ResultCode::Answered && code != ResultCode::TargetShed)
         return;
@@ -172,7 +175,8 @@
         return;
     }
     const auto perSecond = *fields.rateLimit;
-    if (!perSecond && code != ResultCode::Answered)
+    const auto isSuccessful = code == ResultCode::Answered && response.status < firstErrorStatus;
+    if (!perSecond && !isSuccessful)
         return;
     auto& targets = this->admissions.at(call.pool)->targets();
     const auto change = targets.recordRateLimit(target, perSecond, sentAt, this->clock.now());
