A request that arrives as a stopping host closes its connection is not handled

A host was stopped at 7.0 s; a request sent at 9.975 s reached a target from it at 10.024 s, and its connection had ended without an answer at 10.028 s.

Cause: closing an idle connection shuts its socket down, but bytes that have already arrived are still read after that. The request was handled and passed on although its connection could carry no answer. Ruled out: a request in flight that the stop did not wait for (it would have been in flight at `service-closed`).

Change: a connection that is closed as idle reads no more requests.

--- a/src/citronloft/edge/http_session.cpp
+++ b/src/citronloft/edge/http_session.cpp
@@ -99,9 +99,12 @@
 
 auto HttpSession::closeIfIdle() -> void
 {
+    if (this->unansweredRequests() > 0)
+        return;
+    // A request whose bytes have arrived can no longer be answered, so it must not be handled.
+    this->isReadingStopped = true;
     auto ignored = beast::error_code {};
-    if (this->unansweredRequests() == 0)
-        this->socket.shutdown(Tcp::socket::shutdown_both, ignored);
+    this->socket.shutdown(Tcp::socket::shutdown_both, ignored);
 }
 
 auto HttpSession::closeIfOverdue(TimePoint now) -> void
--- a/src/citronloft/edge/http_test.cpp
+++ b/src/citronloft/edge/http_test.cpp
@@ -379,6 +379,28 @@
     });
 }
 
+/// Its bytes are in the socket's buffer when the server closes the idle connection, so it can no longer be answered.
+TEST_F(HttpTest, RequestThatArrivesAsServerClosesIsNotHandled)
+{
+    const auto address = this->startServer();
+    const auto request = std::string { "GET /x HTTP/1.1\r\nHost: x\r\n\r\n" };
+    this->run([&](boost::asio::yield_context yield) {
+        auto error = boost::system::error_code {};
+        auto socket = boost::asio::ip::tcp::socket(this->context);
+        socket.async_connect({ boost::asio::ip::make_address(address.ip), address.port }, yield[error]);
+        auto bytes = std::array<char, 4096> {};
+        boost::asio::write(socket, boost::asio::buffer(request), error);
+        socket.async_read_some(boost::asio::buffer(bytes), yield[error]);
+        EXPECT_EQ(this->handledRequests, 1);
+        boost::asio::write(socket, boost::asio::buffer(request), error);
+        this->server->closeIdle();
+        EXPECT_EQ(socket.async_read_some(boost::asio::buffer(bytes), yield[error]), 0U);
+        auto timer = boost::asio::steady_timer(this->context, 50ms);
+        timer.async_wait(yield[error]);
+    });
+    EXPECT_EQ(this->handledRequests, 1);
+}
+
 TEST_F(HttpTest, PartiallyReadRequestIsAnsweredWhenServerCloses)
 {
     const auto address = this->startServer();
