--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -227,6 +227,11 @@
     printSize("its confirmation", grant);
     printSize("loan ask, 1 bucket, 1 settlement", LoanRequest { 1, 1, { { 1, 1 } }, { { 1, 1, 0 } } });
     printSize("loan grant, 1 bucket", LoanGrant { 1, 1, { { 1, 1 } } });
+    auto limits = LimitNotice { 1, 1, "christchurch-a", false, {} };
+    limits.reports.resize(1, { 1, 2.5, 1 });
+    printSize("limit notice, 1 target", limits);
+    limits.reports.resize(256, { 1, 2.5, 1 });
+    printSize("limit notice, 256 targets", limits);
     printSize("heartbeat without digests", heartbeat);
     heartbeat.zones.resize(97);
     printSize("heartbeat, 97 zone digests", heartbeat);
