--- a/src/citronloft/fleet/object_mirror.cpp
+++ b/src/citronloft/fleet/object_mirror.cpp
@@ -87,7 +87,8 @@
     if (this->listRevision < this->revision) {
         LogEvent(LogLevel::Warning, "list-too-old")
             .with("kind", this->option.kind)
-            .with("revision", this->listRevision);
+            .with("revision", this->listRevision)
+            .with("known_revision", this->revision);
         this->listed.clear();
         this->nextCallAt = this->clock.now() + this->option.pause;
         return;
