Failing test: hosts follow a store that was restored from a copy

The simulated store of the withdrawal campaign can be restored from an older copy: its objects and its revision go back, what the operator and the targets had written is written again within two seconds, what the hosts had written is gone.

--- a/src/citronloft/fleet/withdrawal_bound_test.cpp
+++ b/src/citronloft/fleet/withdrawal_bound_test.cpp
@@ -118,8 +118,8 @@
     {
         this->generator.seed(static_cast<std::uint64_t>(GetParam()));
         for (auto i = 0; i < 30; ++i)
-            this->store.put("targets", "t" + std::to_string(i), "ready");
-        this->store.put("config", "config", "1");
+            this->write("targets", "t" + std::to_string(i), "ready");
+        this->write("config", "config", "1");
         constexpr auto simulatedHostCount = 12;
         for (auto i = 0; i < simulatedHostCount; ++i)
             this->startHost();
@@ -244,6 +244,54 @@
         }
     }
 
+    /// Restores the store from a copy after an outage. The operator and the targets write again what was lost, within
+    /// the two seconds that the platform states.
+    auto restoreStore() -> void
+    {
+        this->storeFault = FeedFault::Refused;
+        for (auto& host : this->simulatedHosts) {
+            host->fault = FeedFault::Refused;
+            host->feed->setFault(FeedFault::Refused);
+        }
+        this->run(std::chrono::milliseconds { 20 + this->pick(3000) });
+        const auto lost = this->store.restore(std::chrono::milliseconds { 500 + this->pick(12000) });
+        this->storeFault = FeedFault::None;
+        this->lastStoreFaultAt = this->events.now();
+        for (auto& host : this->simulatedHosts) {
+            host->fault = FeedFault::None;
+            host->feed->setFault(FeedFault::None);
+        }
+        auto objects = std::set<std::pair<std::string, std::string>> {};
+        for (const auto& change : lost)
+            objects.emplace(change.kind, change.object.name);
+        for (const auto& [kind, name] : objects) {
+            constexpr auto rewriteTime = 1900U;
+            this->events.after(std::chrono::milliseconds { this->pick(rewriteTime) },
+                [this, kind = kind, name = name] { this->writeAgain(kind, name); });
+        }
+    }
+
+    auto writeAgain(const std::string& kind, const std::string& name) -> void
+    {
+        const auto body = this->written[kind].find(name);
+        if (body == this->written[kind].end())
+            this->store.remove(kind, name);
+        else
+            this->store.put(kind, name, body->second);
+    }
+
+    auto write(const std::string& kind, const std::string& name, const std::string& body) -> void
+    {
+        this->written[kind][name] = body;
+        this->store.put(kind, name, body);
+    }
+
+    auto remove(const std::string& kind, const std::string& name) -> void
+    {
+        this->written[kind].erase(name);
+        this->store.remove(kind, name);
+    }
+
     [[nodiscard]] auto isStoreStable() const -> bool
     {
         return this->storeFault == FeedFault::None && this->events.now() - this->lastStoreFaultAt >= stableWindow;
@@ -264,26 +312,26 @@
         const auto name = "t" + std::to_string(this->pick(30));
         switch (this->pick(5)) {
         case 0:
-            this->store.put("targets", name, "draining");
+            this->write("targets", name, "draining");
             this->recordBinding(this->withdrawnTargets, name, isBinding, now);
             break;
         case 1:
-            this->store.remove("targets", name);
+            this->remove("targets", name);
             this->recordBinding(this->withdrawnTargets, name, isBinding, now);
             break;
         case 2:
-            this->store.put("targets", name, "ready");
+            this->write("targets", name, "ready");
             this->withdrawnTargets.erase(name);
             break;
         case 3: {
             const auto zone = "z" + std::to_string(this->pick(3));
-            this->store.put("evacuations", zone, {});
+            this->write("evacuations", zone, {});
             this->recordBinding(this->evacuatedZones, zone, isBinding, now);
             break;
         }
         default:
             ++this->version;
-            this->store.put("config", "config", std::to_string(this->version));
+            this->write("config", "config", std::to_string(this->version));
             if (isBinding)
                 this->configVersions[this->version] = now;
             break;
@@ -338,6 +386,8 @@
     EventQueueClock clock { this->events };
     Metrics metrics;
     VirtualObjects store { this->events, history };
+    /// What the operator and the targets have written last, by kind and name.
+    std::map<std::string, std::map<std::string, std::string>> written;
     std::vector<std::unique_ptr<SimulatedHost>> simulatedHosts;
     FeedFault storeFault = FeedFault::None;
     TimePoint lastStoreFaultAt {};
@@ -372,6 +422,30 @@
     EXPECT_EQ(this->firstLate, "") << "seed " << GetParam() << ": learned of a withdrawal after its bound";
 }
 
+/// Guards against hosts that follow no store whose revisions have gone back: lists were discarded as too old, and a
+/// configuration with a revision that was given out again was taken for the one before.
+TEST_P(WithdrawalBound, HoldsWhenStoreIsRestoredFromCopy)
+{
+    for (auto round = 0; round < 20; ++round) {
+        for (auto count = 1 + this->pick(5); count > 0; --count) {
+            // Nobody writes the system's own objects again.
+            for (auto own = this->pick(8); own > 0; --own)
+                this->store.put("system", "s" + std::to_string(this->pick(5)), {});
+            this->withdraw();
+            this->run(std::chrono::milliseconds { 20 + this->pick(400) });
+        }
+        this->run(std::chrono::milliseconds { this->pick(6000) });
+        if (this->chance(0.6))
+            this->restoreStore();
+        if (this->chance(0.3))
+            this->drawPeerFaults();
+        this->run(this->chance(0.5) ? stableWindow : 100ms);
+    }
+    this->run(10s);
+    EXPECT_GT(this->checks, 0U);
+    EXPECT_EQ(this->firstLate, "") << "seed " << GetParam() << ": learned of a withdrawal after its bound";
+}
+
 /// Guards against store calls from every host: hundreds of hosts watch the same few kinds, and the store counts each
 /// call. Without faults only one host of each zone calls the store.
 TEST_P(WithdrawalBound, OneHostOfAZoneReadsTheStore)
--- a/tests/fakes/virtual_feed.hpp
+++ b/tests/fakes/virtual_feed.hpp
@@ -2,11 +2,13 @@
 /// @brief Fake store with lists and watches in virtual time, and each host's connection to it.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -36,14 +38,17 @@
     auto put(const std::string& kind, const std::string& name, std::string body) -> void
     {
         auto object = MirroredObject { name, ++this->lastRevision, std::move(body), false };
-        this->objects[kind][name] = object;
-        this->record({ kind, std::move(object) });
+        this->record({ kind, object });
+        this->objects[kind][name] = std::move(object);
+        this->notify({ kind, this->objects[kind][name] });
     }
 
     auto remove(const std::string& kind, const std::string& name) -> void
     {
+        const auto change = Change { kind, { name, ++this->lastRevision, {}, true } };
+        this->record(change);
         this->objects[kind].erase(name);
-        this->record({ kind, { name, ++this->lastRevision, {}, true } });
+        this->notify(change);
     }
 
     /// @brief Discards the change history, so that watches from earlier revisions fail.
@@ -53,6 +58,28 @@
         this->oldest = this->lastRevision;
     }
 
+    /// @brief Returns to the state of `age` ago, including the revision, which is given out again from there.
+    /// @return the changes that are lost.
+    auto restore(Duration age) -> std::vector<Change>
+    {
+        auto lost = std::vector<Change> {};
+        while (!this->undo.empty() && this->undo.back().at > this->events.now() - age) {
+            const auto& last = this->undo.back();
+            auto& current = this->objects[last.change.kind];
+            if (last.before)
+                current.insert_or_assign(last.change.object.name, *last.before);
+            else
+                current.erase(last.change.object.name);
+            lost.push_back(last.change);
+            this->undo.pop_back();
+            --this->lastRevision;
+        }
+        std::erase_if(
+            this->changes, [this](const auto& change) { return change.second.object.revision > this->lastRevision; });
+        this->oldest = std::min(this->oldest, this->lastRevision);
+        return lost;
+    }
+
     [[nodiscard]] auto revision() const -> std::uint64_t { return this->lastRevision; }
 
     /// @return a page of the objects of a kind that follow `after`.
@@ -75,7 +102,7 @@
     auto changesAfter(const std::string& kind, std::uint64_t revision) -> absl::StatusOr<ObjectBatch>
     {
         this->trimHistory();
-        if (revision < this->oldest)
+        if (revision < this->oldest || revision > this->lastRevision)
             return absl::OutOfRangeError("revision is older than the retained history");
         auto batch = ObjectBatch { {}, false, this->lastRevision };
         for (const auto& [at, change] : this->changes) {
@@ -95,10 +122,26 @@
     auto forget(std::uint64_t waiter) -> void { this->waiters.erase(waiter); }
 
 private:
-    auto record(Change change) -> void
+    /// A change and the object before it.
+    struct Undo {
+        TimePoint at;
+        Change change;
+        std::optional<MirroredObject> before;
+    };
+
+    /// Records a change that is about to be made.
+    auto record(const Change& change) -> void
     {
         this->changes.emplace_back(this->events.now(), change);
         this->trimHistory();
+        const auto& current = this->objects[change.kind];
+        const auto before = current.find(change.object.name);
+        this->undo.push_back(
+            { this->events.now(), change, before == current.end() ? std::nullopt : std::optional { before->second } });
+    }
+
+    auto notify(const Change& change) -> void
+    {
         const auto waiting = this->waiters;
         for (const auto& [number, waiter] : waiting)
             waiter(change);
@@ -116,6 +159,8 @@
     Duration history;
     std::map<std::string, std::map<std::string, MirroredObject>> objects;
     std::deque<std::pair<TimePoint, Change>> changes;
+    /// All changes since the start, each of which has increased the revision by one.
+    std::vector<Undo> undo;
     std::uint64_t oldest = 0;
     std::uint64_t lastRevision = 0;
     std::map<std::uint64_t, Waiter> waiters;
