--- a/include/citronloft/fleet/claim_registry.hpp
+++ b/include/citronloft/fleet/claim_registry.hpp
@@ -24,7 +24,7 @@
 struct Claim {
     std::string objectKey;
     std::string claimId;
-    std::uint64_t version = absentVersion;
+    StoreRevision version = absentVersion;
 };
 
 /// @brief Claims keys by creating one store object per key, on the condition that none exists.
--- a/include/citronloft/fleet/config_follower.hpp
+++ b/include/citronloft/fleet/config_follower.hpp
@@ -99,7 +99,7 @@
     ConfigRecords records;
     RecordsDigest digest;
     std::deque<ConfigUpdate> recentUpdates;
-    std::uint64_t watchedVersion = absentVersion;
+    StoreRevision watchedVersion = absentVersion;
     /// Configurations arrive through applyPlatformConfig() instead of the store's manifest.
     bool usesPlatformConfig = false;
     Duration peerFetchDelay {};
--- a/include/citronloft/fleet/discovery.hpp
+++ b/include/citronloft/fleet/discovery.hpp
@@ -82,7 +82,7 @@
 private:
     /// A decoded object, cached until its revision changes; no entry if it is malformed.
     struct CachedEntry {
-        std::uint64_t revision = 0;
+        StoreRevision revision;
         std::optional<TargetEntry> entry;
     };
 
@@ -100,7 +100,7 @@
     std::shared_ptr<ObjectMirror> targets;
     std::shared_ptr<ObjectMirror> evacuations;
     std::map<std::string, CachedEntry> entries;
-    std::uint64_t configRevision = 0;
+    StoreRevision configRevision;
 };
 
 } // namespace citronloft
--- a/include/citronloft/fleet/messages.hpp
+++ b/include/citronloft/fleet/messages.hpp
@@ -10,6 +10,7 @@
 
 #include "citronloft/base/address.hpp"
 #include "citronloft/base/config_records.hpp"
+#include "citronloft/fleet/store_revision.hpp"
 #include "citronloft/policy/demand_shares.hpp"
 #include "citronloft/policy/host_lifecycle.hpp"
 #include "citronloft/policy/shares.hpp"
@@ -295,7 +296,7 @@
 struct FeedState {
     /// bucketId() of the kind's name.
     std::uint64_t kind = 0;
-    std::uint64_t revision = 0;
+    StoreRevision revision;
 
     auto operator==(const FeedState&) const -> bool = default;
 
@@ -315,10 +316,10 @@
     }
 };
 
-/// @brief Request to a zone's store reader for changes after a revision; revision 0 requests all objects.
+/// @brief Request to a zone's store reader for changes after a revision; the default revision requests all objects.
 struct FeedRequest {
     std::string kind;
-    std::uint64_t since = 0;
+    StoreRevision since {};
 
     template <typename Archive> auto serialize(Archive& archive) -> void { archive(this->kind, this->since); }
 };
--- a/include/citronloft/fleet/object_mirror.hpp
+++ b/include/citronloft/fleet/object_mirror.hpp
@@ -14,13 +14,14 @@
 
 #include "citronloft/base/clock.hpp"
 #include "citronloft/fleet/store_backoff.hpp"
+#include "citronloft/fleet/store_revision.hpp"
 
 namespace citronloft {
 
 /// @brief An object of the store; the body is decoded elsewhere.
 struct MirroredObject {
     std::string name;
-    std::uint64_t revision = 0;
+    StoreRevision revision;
     std::string body;
     /// In events: the object was deleted.
     bool isDeleted = false;
@@ -36,7 +37,7 @@
     std::vector<MirroredObject> objects;
     /// Lists only: there are more objects after the last one.
     bool hasMore = false;
-    std::uint64_t revision = 0;
+    StoreRevision revision;
     /// Read from a peer's copy, so that the next call can follow without a pause.
     bool isRelayed = false;
 
@@ -48,7 +49,8 @@
 
 /// @brief Reads a store through lists and watches.
 ///
-/// Errors: OutOfRange (the store no longer has the history that a watch needs), Unavailable, DeadlineExceeded.
+/// Errors: OutOfRange (the store no longer has the history that a watch needs, or was restored from a copy since),
+/// Unavailable, DeadlineExceeded.
 class ObjectFeed {
 public:
     using Done = std::function<void(absl::StatusOr<ObjectBatch>)>;
@@ -59,7 +61,7 @@
     virtual auto list(const std::string& kind, const std::string& after, Done done) -> void = 0;
 
     /// @brief Answers with the events after `revision`, or without events once `wait` has passed.
-    virtual auto watch(const std::string& kind, std::uint64_t revision, Duration wait, Done done) -> void = 0;
+    virtual auto watch(const std::string& kind, const StoreRevision& revision, Duration wait, Done done) -> void = 0;
 };
 
 /// @brief Settings of a mirror.
@@ -77,16 +79,18 @@
     Duration maxPause = std::chrono::milliseconds { 600 };
     /// A watch that takes at least this long ends a burst.
     Duration burstEndWait = std::chrono::milliseconds { 2000 };
-    /// Time after an outage of the store for which missing objects are kept if they are many: their owners may not have
-    /// written them again yet. Owners do so within two seconds of the store's return, which this host notices about
-    /// 0.6 s late; a target that has left in the meantime must be out of use 2.5 s after that.
+    /// Time after an outage of the store for which missing objects are kept if they are many, or if the store returned
+    /// from a copy: their owners may not have written them again yet. Owners do so within two seconds of the store's
+    /// return, which this host notices about 0.6 s late; a target that has left in the meantime must be out of use 2.5
+    /// s after that.
     Duration outageGrace = std::chrono::milliseconds { 1200 };
     /// Maximum fraction of missing objects that are removed immediately after an outage, since the remaining ones can
     /// do their work.
     double immediateRemovalFraction = 0.2;
 };
 
-/// @brief Mirrors the objects of one kind. The revision never decreases; lists older than the copy are discarded.
+/// @brief Mirrors the objects of one kind. The revision never decreases; lists older than the copy are discarded. When
+/// the store has been restored from a copy, the objects are listed again.
 class ObjectMirror : public std::enable_shared_from_this<ObjectMirror> {
 public:
     using Objects = std::map<std::string, MirroredObject>;
@@ -110,22 +114,25 @@
 
     /// @return the revision up to which the copy contains all changes; nothing before the first list, while a new list
     /// is needed, or while the store is unavailable.
-    [[nodiscard]] auto currentRevision() const -> std::optional<std::uint64_t>;
+    [[nodiscard]] auto currentRevision() const -> std::optional<StoreRevision>;
 
-    /// @return the changes after a revision, or all objects if it is 0; OutOfRange if the revision precedes this copy's
-    /// history, Unavailable if the copy is not up to date.
-    [[nodiscard]] auto changesAfter(std::uint64_t since) const -> absl::StatusOr<ObjectBatch>;
+    /// @return the changes after a revision, or all objects if it is the default; OutOfRange if the revision precedes
+    /// this copy's history, Unavailable if the copy is not up to date.
+    [[nodiscard]] auto changesAfter(const StoreRevision& since) const -> absl::StatusOr<ObjectBatch>;
 
 private:
     auto startList(const std::string& after) -> void;
+    auto requestList(TimePoint now) -> void;
     auto updatePause(TimePoint now) -> void;
     auto startWatch() -> void;
     auto processList(absl::StatusOr<ObjectBatch> batch) -> void;
     auto processEvents(absl::StatusOr<ObjectBatch> batch) -> void;
-    auto finishList(std::uint64_t newRevision) -> void;
-    auto removeOrRetain(const std::vector<std::string>& names, TimePoint now) -> bool;
+    auto finishList() -> void;
+    auto removeOrRetain(const std::vector<std::string>& names, bool isRestored, TimePoint now) -> bool;
+    [[nodiscard]] auto retentionEnd(std::size_t count, bool isRestored, TimePoint now) const
+        -> std::optional<TimePoint>;
     auto recordSuccess() -> void;
-    auto recordChange(const std::string& name, bool isDeleted, std::uint64_t learnedAtRevision) -> void;
+    auto recordChange(const std::string& name, bool isDeleted, const StoreRevision& learnedAtRevision) -> void;
     auto recordFailure(const absl::Status& status) -> void;
 
     ObjectMirrorOption option;
@@ -138,18 +145,20 @@
     Objects listed;
     /// Missing objects that are kept for the grace period, with its end.
     std::map<std::string, TimePoint> retainedUntil;
-    std::uint64_t revision = 0;
-    std::uint64_t listRevision = 0;
+    StoreRevision revision;
+    StoreRevision listRevision;
     /// The last change of an object; `learnedAtRevision` is the store revision at which this host learned of it.
     struct Change {
-        std::uint64_t learnedAtRevision = 0;
+        StoreRevision learnedAtRevision;
         bool isDeleted = false;
     };
     std::map<std::string, Change> lastChanges;
     /// `lastChanges` contains every change after this revision.
-    std::uint64_t historyStart = 0;
+    StoreRevision historyStart;
     bool isListed = false;
     bool needsList = true;
+    /// When this mirror learned that it needs a list.
+    TimePoint listNeededAt {};
     bool isCallPending = false;
     TimePoint nextCallAt {};
     /// Start of the current watch, and the pause after it.
--- a/include/citronloft/fleet/zone_feed.hpp
+++ b/include/citronloft/fleet/zone_feed.hpp
@@ -48,7 +48,7 @@
         std::shared_ptr<FeedFetcher> peers);
 
     auto list(const std::string& kind, const std::string& after, Done done) -> void override;
-    auto watch(const std::string& kind, std::uint64_t revision, Duration wait, Done done) -> void override;
+    auto watch(const std::string& kind, const StoreRevision& revision, Duration wait, Done done) -> void override;
 
     /// @brief Completes watches that have waited long enough; call about every 20 ms.
     /// @param isReader whether this host reads the store for its zone.
@@ -65,16 +65,16 @@
     /// A watch that waits for a newer revision of the reader's copy.
     struct PendingWatch {
         std::string kind;
-        std::uint64_t revision = 0;
+        StoreRevision revision;
         TimePoint deadline;
         Done done;
         /// Whether the watch has waited for a reader.
         bool hasWaitedForReader = false;
     };
 
-    [[nodiscard]] auto readerRevision(const std::string& kind, TimePoint now) const -> std::optional<std::uint64_t>;
+    [[nodiscard]] auto readerRevision(const std::string& kind, TimePoint now) const -> std::optional<StoreRevision>;
     auto tryComplete(PendingWatch& pendingWatch, TimePoint now) -> bool;
-    auto fetchFromReader(const std::string& kind, std::uint64_t revision, Done done) -> void;
+    auto fetchFromReader(const std::string& kind, const StoreRevision& revision, Done done) -> void;
 
     ZoneFeedOption option;
     const Clock& clock;
@@ -85,7 +85,7 @@
     /// Sender of the last notice, and the notice's revisions by kind.
     Address reader;
     TimePoint lastNoticeAt {};
-    std::map<std::uint64_t, std::uint64_t> readerRevisions;
+    std::map<std::uint64_t, StoreRevision> readerRevisions;
     std::vector<FeedState> announcedStates;
     TimePoint nextNoticeAt {};
 };
--- a/include/citronloft/fleet/zone_leader.hpp
+++ b/include/citronloft/fleet/zone_leader.hpp
@@ -81,12 +81,12 @@
     auto pollLease(TimePoint now) -> void;
     auto processShares(const StoredObject& object, TimePoint now) -> void;
     auto takeOver(TimePoint now) -> void;
-    auto becomeLeader(ZoneShares newLease, std::uint64_t version, TimePoint sentAt, TimePoint now) -> void;
+    auto becomeLeader(ZoneShares newLease, const StoreRevision& version, TimePoint sentAt, TimePoint now) -> void;
     auto stepDown() -> void;
     auto sendUpdate(TimePoint now) -> void;
-    auto finishUpdate(const absl::StatusOr<std::uint64_t>& result, const ZoneShares& newShares) -> void;
+    auto finishUpdate(const absl::StatusOr<StoreRevision>& result, const ZoneShares& newShares) -> void;
     auto resolveConflict() -> void;
-    auto applyStored(const ZoneShares& storedUpdate, std::uint64_t storedVersion) -> void;
+    auto applyStored(const ZoneShares& storedUpdate, const StoreRevision& storedVersion) -> void;
     [[nodiscard]] auto hasValidLease(TimePoint now) const -> bool;
     [[nodiscard]] auto planSlots(TimePoint now) const -> SlotMap;
     [[nodiscard]] auto liveHolders(TimePoint now) const -> std::vector<std::uint64_t>;
@@ -105,7 +105,7 @@
     bool leaving = false;
     bool callPending = false;
     ZoneShares shares;
-    std::uint64_t version = absentVersion;
+    StoreRevision version = absentVersion;
     std::uint64_t lastRenewal = 0;
     /// Send times of updates whose outcome is unknown, by their value of `renewals`.
     std::map<std::uint64_t, TimePoint> sentUpdates;
--- a/programs/standins/store.cpp
+++ b/programs/standins/store.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// @brief Simulates the platform's object service (docs/PLATFORM.md) in memory, with fault injection.
 
+#include <deque>
 #include <iostream>
 #include <map>
 
@@ -9,6 +10,7 @@
 #include <boost/program_options.hpp>
 
 #include "citronloft/edge/http_server.hpp"
+#include "citronloft/fleet/store_revision.hpp"
 #include "standin_control.hpp"
 
 namespace citronloft {
@@ -25,6 +27,16 @@
     std::uint64_t version = 0;
 };
 
+/// A write, and the object that it replaced.
+struct UndoEntry {
+    std::chrono::steady_clock::time_point at;
+    std::string key;
+    Object replaced;
+};
+
+/// Writes that are kept for a restore.
+constexpr auto maxUndoEntries = std::size_t { 100'000 };
+
 struct FaultSettings {
     /// 0: none; 1: requests are answered with 503; 2: requests hang, then are answered with 503.
     std::int64_t outage = 0;
@@ -49,10 +61,13 @@
     return response;
 }
 
-auto withVersion(HttpResponse response, std::uint64_t version) -> HttpResponse
+/// Reads a version tag "ERA.NUMBER".
+auto parseTag(const std::string& text) -> StoreRevision
 {
-    response.fields.set("ETag", "\"" + std::to_string(version) + "\"");
-    return response;
+    const auto dot = text.find('.');
+    if (dot == std::string::npos)
+        return {};
+    return { std::stoull("0" + text.substr(0, dot)), std::stoull("0" + text.substr(dot + 1)) };
 }
 
 class StoreStandin {
@@ -94,9 +109,42 @@
         readIntegerParameter(request, "delay_ms", this->faults.delayMs);
         readIntegerParameter(request, "lose_replies", this->faults.loseReplies);
         readIntegerParameter(request, "stale_reads", this->faults.staleReads);
+        auto restoreMs = std::int64_t { 0 };
+        readIntegerParameter(request, "restore_ms", restoreMs);
+        if (restoreMs > 0)
+            this->restore(std::chrono::milliseconds { restoreMs });
         return makeResponse(204);
     }
 
+    /// Returns to the state of `age` ago and starts a new era.
+    auto restore(std::chrono::milliseconds age) -> void
+    {
+        const auto until = std::chrono::steady_clock::now() - age;
+        while (!this->undo.empty() && this->undo.back().at > until) {
+            auto& last = this->undo.back();
+            if (last.replaced.version == 0)
+                this->objects.erase(last.key);
+            else
+                this->objects[last.key] = std::move(last.replaced);
+            this->undo.pop_back();
+            --this->lastVersion;
+        }
+        ++this->era;
+        this->previousVersions.clear();
+        for (const auto& [key, timers] : this->watchers) {
+            for (const auto& timer : timers)
+                timer->cancel();
+        }
+    }
+
+    [[nodiscard]] auto revisionOf(const Object& object) const -> StoreRevision { return { this->era, object.version }; }
+
+    [[nodiscard]] auto withVersion(HttpResponse response, const Object& object) const -> HttpResponse
+    {
+        response.fields.set("ETag", '"' + formatRevision(this->revisionOf(object)) + '"');
+        return response;
+    }
+
     auto stats() -> HttpResponse
     {
         return makeResponse(200,
@@ -119,7 +167,7 @@
     {
         const auto watch = queryValue(request.target, "watch");
         if (!watch.empty())
-            return this->watch(key, std::stoull(watch), std::stoll("0" + queryValue(request.target, "wait_ms")), yield);
+            return this->watch(key, parseTag(watch), std::stoll("0" + queryValue(request.target, "wait_ms")), yield);
         ++this->callCounts.reads;
         const auto found = this->objects.find(key);
         if (found == this->objects.end())
@@ -127,20 +175,20 @@
         const auto stale = this->previousVersions.find(key);
         if (this->faults.staleReads > 0 && stale != this->previousVersions.end()) {
             --this->faults.staleReads;
-            return withVersion(makeResponse(200, stale->second.value), stale->second.version);
+            return this->withVersion(makeResponse(200, stale->second.value), stale->second);
         }
-        return withVersion(makeResponse(200, found->second.value), found->second.version);
+        return this->withVersion(makeResponse(200, found->second.value), found->second);
     }
 
-    auto watch(const std::string& key, std::uint64_t after, std::int64_t waitMs, boost::asio::yield_context yield)
-        -> HttpResponse
+    auto watch(const std::string& key, const StoreRevision& after, std::int64_t waitMs,
+        boost::asio::yield_context yield) -> HttpResponse
     {
         ++this->callCounts.watches;
         const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds { waitMs };
         while (true) {
             const auto found = this->objects.find(key);
-            if (found != this->objects.end() && found->second.version > after)
-                return withVersion(makeResponse(200, found->second.value), found->second.version);
+            if (found != this->objects.end() && this->revisionOf(found->second) > after)
+                return this->withVersion(makeResponse(200, found->second.value), found->second);
             if (std::chrono::steady_clock::now() >= until || this->faults.outage != 0)
                 return makeResponse(this->faults.outage == 0 ? 304 : 503);
             auto timer = std::make_shared<boost::asio::steady_timer>(this->context, until);
@@ -161,29 +209,34 @@
         const auto expected = request.fields.get("If-Match");
         const auto isExpected = request.fields.has("If-None-Match")
             ? object.version == 0
-            : expected == "\"" + std::to_string(object.version) + "\"";
+            : expected == '"' + formatRevision(this->revisionOf(object)) + '"';
         if (!isExpected) {
             if (object.version == 0)
                 this->objects.erase(key);
             return makeResponse(412);
         }
         this->previousVersions[key] = object;
+        this->undo.push_back({ std::chrono::steady_clock::now(), key, object });
+        if (this->undo.size() > maxUndoEntries)
+            this->undo.pop_front();
         object = { request.body, ++this->lastVersion };
-        const auto version = object.version;
+        const auto written = object;
         for (const auto& timer : this->watchers[key])
             timer->cancel();
         if (this->faults.loseReplies > 0) {
             --this->faults.loseReplies;
             sleepFor(this->context, hangTime, yield);
         }
-        return withVersion(makeResponse(200), version);
+        return this->withVersion(makeResponse(200), written);
     }
 
     boost::asio::io_context& context;
     std::map<std::string, Object> objects;
     std::map<std::string, Object> previousVersions;
     std::map<std::string, std::vector<std::shared_ptr<boost::asio::steady_timer>>> watchers;
+    std::deque<UndoEntry> undo;
     std::uint64_t lastVersion = 0;
+    std::uint64_t era = 0;
     FaultSettings faults;
     Stats callCounts;
 };
--- a/src/citronloft/edge/http_object_store.cpp
+++ b/src/citronloft/edge/http_object_store.cpp
@@ -1,11 +1,13 @@
 #include "citronloft/edge/http_object_store.hpp"
 
 #include <charconv>
+#include <utility>
 
 #include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
 #include "citronloft/base/digest.hpp"
+#include "citronloft/fleet/store_era.hpp"
 #include "citronloft/policy/circuit_breaker.hpp"
 
 namespace citronloft {
@@ -16,16 +18,24 @@
 
 constexpr auto objectsPath = std::string_view { "/v1/objects/" };
 
-auto versionOf(const HttpResponse& response) -> std::uint64_t
+/// Reads a version tag "ERA.NUMBER"; a service that is never restored from a copy states only the number.
+auto versionOf(const HttpResponse& response) -> StoreRevision
 {
     auto tag = response.fields.get("ETag");
     if (tag.size() >= 2 && tag.front() == '"')
         tag = tag.substr(1, tag.size() - 2);
-    auto version = std::uint64_t { 0 };
-    std::from_chars(tag.data(), tag.data() + tag.size(), version);
+    auto version = StoreRevision {};
+    const auto end = tag.data() + tag.size();
+    const auto first = std::from_chars(tag.data(), end, version.number);
+    if (first.ptr == end || *first.ptr != '.')
+        return version;
+    version.era = std::exchange(version.number, 0);
+    std::from_chars(first.ptr + 1, end, version.number);
     return version;
 }
 
+auto quotedTag(const StoreRevision& version) -> std::string { return '"' + formatRevision(version) + '"'; }
+
 auto statusOf(const Exchange& exchange) -> absl::Status
 {
     if (exchange.error == ExchangeError::AnswerTimeout || exchange.error == ExchangeError::ConnectTimeout)
@@ -54,6 +64,7 @@
         , metrics(metrics)
         , option(std::move(option))
         , client(makeHttpClient(context, clock))
+        , storeEra(metrics)
         , circuit({ this->option.failuresToOpen, this->option.minBackoff, this->option.maxBackoff }, randomId())
     {
     }
@@ -63,13 +74,13 @@
         this->call({ "GET", std::string { objectsPath } + key, {}, {} }, Duration {}, readObject(std::move(done)));
     }
 
-    auto put(const std::string& key, std::string value, std::uint64_t expected, PutDone done) -> void override
+    auto put(const std::string& key, std::string value, const StoreRevision& expected, PutDone done) -> void override
     {
         auto request = HttpRequest { "PUT", std::string { objectsPath } + key, {}, std::move(value) };
         if (expected == absentVersion)
             request.fields.set("If-None-Match", "*");
         else
-            request.fields.set("If-Match", "\"" + std::to_string(expected) + "\"");
+            request.fields.set("If-Match", quotedTag(expected));
         this->call(std::move(request), Duration {}, [done = std::move(done)](const auto& status, auto& response) {
             if (status.ok())
                 done(versionOf(response));
@@ -78,11 +89,11 @@
         });
     }
 
-    auto watch(const std::string& key, std::uint64_t after, Duration wait, GetDone done) -> void override
+    auto watch(const std::string& key, const StoreRevision& after, Duration wait, GetDone done) -> void override
     {
         const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
         auto target = std::string { objectsPath } + key;
-        target += "?watch=" + std::to_string(after) + "&wait_ms=" + std::to_string(waitMs);
+        target += "?watch=" + formatRevision(after) + "&wait_ms=" + std::to_string(waitMs);
         this->call({ "GET", std::move(target), {}, {} }, wait, readObject(std::move(done)));
     }
 
@@ -100,6 +111,8 @@
         });
     }
 
+    [[nodiscard]] auto era() const -> std::uint64_t override { return this->storeEra.current(); }
+
 private:
     using Done = std::function<void(const absl::Status&, HttpResponse&)>;
 
@@ -132,7 +145,9 @@
         }
         const auto deadline = this->clock.now() + this->option.callTimeout + extraWait;
         exchange = this->client->exchange(this->option.address, request, { .deadline = deadline }, yield);
-        const auto status = statusOf(exchange);
+        auto status = statusOf(exchange);
+        if (!exchange.response.fields.get("ETag").empty() && !this->storeEra.record(versionOf(exchange.response).era))
+            status = absl::UnavailableError("store answer is from before the store was restored from a copy");
         const auto hasFailed = absl::IsUnavailable(status) || absl::IsDeadlineExceeded(status);
         this->circuit.record(!hasFailed, this->clock.now());
         this->metrics.count("citronloft_store_calls_total", hasFailed ? "result=\"failed\"" : "result=\"answered\"");
@@ -144,6 +159,7 @@
     Metrics& metrics;
     HttpObjectStoreOption option;
     std::shared_ptr<HttpClient> client;
+    StoreEra storeEra;
     CircuitBreaker circuit;
 };
 
--- a/src/citronloft/fleet/config_publisher.cpp
+++ b/src/citronloft/fleet/config_publisher.cpp
@@ -68,7 +68,7 @@
             return this->prepareManifest();
         const auto& chunk = this->chunks[this->nextChunk];
         this->store->put(chunk.key, chunk.value, absentVersion,
-            [self = this->shared_from_this()](const absl::StatusOr<std::uint64_t>& result) {
+            [self = this->shared_from_this()](const absl::StatusOr<StoreRevision>& result) {
                 // The key is derived from the content, so an existing object is the same chunk.
                 if (result.ok() || absl::IsAborted(result.status())) {
                     ++self->nextChunk;
@@ -105,7 +105,7 @@
     auto putNewManifest() -> void
     {
         this->store->put(manifestKey, encode(this->newManifest), this->objectVersion,
-            [self = this->shared_from_this()](const absl::StatusOr<std::uint64_t>& result) {
+            [self = this->shared_from_this()](const absl::StatusOr<StoreRevision>& result) {
                 if (result.ok())
                     return self->finishAccepted();
                 if (absl::IsAborted(result.status()))
@@ -161,7 +161,7 @@
     ConfigRecords records;
     ConfigManifest storedManifest;
     ConfigManifest newManifest;
-    std::uint64_t objectVersion = absentVersion;
+    StoreRevision objectVersion = absentVersion;
     std::vector<RecordChange> delta;
     std::vector<ConfigChunk> chunks;
     std::size_t nextChunk = 0;
--- a/src/citronloft/fleet/discovery.cpp
+++ b/src/citronloft/fleet/discovery.cpp
@@ -93,7 +93,7 @@
         }
         this->metrics.count("citronloft_malformed_objects_total", "kind=\"config\"");
         LogEvent(LogLevel::Error, "config-refused")
-            .with("revision", object.revision)
+            .with("revision", formatRevision(object.revision))
             .with("reason", std::string { config.status().message() });
     }
 }
@@ -121,7 +121,7 @@
         this->metrics.count("citronloft_malformed_objects_total", "kind=\"target\"");
         LogEvent(LogLevel::Warning, "target-ignored")
             .with("name", object.name)
-            .with("revision", object.revision)
+            .with("revision", formatRevision(object.revision))
             .with("reason", std::string { entry.status().message() });
         return std::nullopt;
     }
@@ -133,7 +133,7 @@
         .with("pool", entry->pool)
         .with("draining", entry->live.target.draining ? 1 : 0)
         .with("cold_ms", entry->coldFor.count())
-        .with("revision", object.revision);
+        .with("revision", formatRevision(object.revision));
     return *std::move(entry);
 }
 
--- a/src/citronloft/fleet/host_registry_test.cpp
+++ b/src/citronloft/fleet/host_registry_test.cpp
@@ -14,7 +14,7 @@
 public:
     auto get(const std::string&, GetDone done) -> void override { done(absl::NotFoundError("")); }
 
-    auto put(const std::string& key, std::string, std::uint64_t, PutDone done) -> void override
+    auto put(const std::string& key, std::string, const StoreRevision&, PutDone done) -> void override
     {
         ++this->calls;
         if (this->isDown)
@@ -22,10 +22,10 @@
         if (std::ranges::find(this->keys, key) != this->keys.end())
             return done(absl::AbortedError("exists"));
         this->keys.push_back(key);
-        done(1);
+        done(StoreRevision { 0, 1 });
     }
 
-    auto watch(const std::string&, std::uint64_t, Duration, GetDone) -> void override { }
+    auto watch(const std::string&, const StoreRevision&, Duration, GetDone) -> void override { }
 
     auto list(const std::string&, ListDone done) -> void override
     {
@@ -35,7 +35,10 @@
         done(this->keys);
     }
 
+    [[nodiscard]] auto era() const -> std::uint64_t override { return this->currentEra; }
+
     std::vector<std::string> keys;
+    std::uint64_t currentEra = 0;
     bool isDown = false;
     int calls = 0;
 };
--- a/src/citronloft/fleet/object_mirror.cpp
+++ b/src/citronloft/fleet/object_mirror.cpp
@@ -52,6 +52,13 @@
     });
 }
 
+auto ObjectMirror::requestList(TimePoint now) -> void
+{
+    this->needsList = true;
+    this->listNeededAt = now;
+    this->nextCallAt = now;
+}
+
 auto ObjectMirror::startWatch() -> void
 {
     this->isCallPending = true;
@@ -74,6 +81,14 @@
     // Changes between two pages arrive with the watch, which starts from the first page's revision.
     if (isFirstPage)
         this->listRevision = batch->revision;
+    if (batch->revision.era != this->listRevision.era) {
+        LogEvent(LogLevel::Info, "list-restarted")
+            .with("kind", this->option.kind)
+            .with("revision", formatRevision(batch->revision));
+        this->recordSuccess();
+        this->startList({});
+        return;
+    }
     auto last = std::string {};
     for (auto& object : batch->objects) {
         last = object.name;
@@ -87,21 +102,22 @@
     if (this->listRevision < this->revision) {
         LogEvent(LogLevel::Warning, "list-too-old")
             .with("kind", this->option.kind)
-            .with("revision", this->listRevision)
-            .with("known_revision", this->revision);
+            .with("revision", formatRevision(this->listRevision))
+            .with("known_revision", formatRevision(this->revision));
         this->listed.clear();
         this->nextCallAt = this->clock.now() + this->option.pause;
         return;
     }
-    this->finishList(this->listRevision);
+    this->finishList();
 }
 
-auto ObjectMirror::finishList(std::uint64_t newRevision) -> void
+auto ObjectMirror::finishList() -> void
 {
     const auto now = this->clock.now();
+    const auto isRestored = this->isListed && this->listRevision.era != this->revision.era;
     // The list replaces all earlier history.
     this->lastChanges.clear();
-    this->historyStart = newRevision;
+    this->historyStart = this->listRevision;
     for (auto& [name, object] : this->listed) {
         this->retainedUntil.erase(name);
         this->mirrored.insert_or_assign(name, std::move(object));
@@ -111,9 +127,9 @@
         if (!this->listed.contains(name))
             missing.push_back(name);
     }
-    this->removeOrRetain(missing, now);
+    this->removeOrRetain(missing, isRestored, now);
     this->listed.clear();
-    this->revision = newRevision;
+    this->revision = this->listRevision;
     this->needsList = false;
     this->isListed = true;
     this->nextCallAt = now;
@@ -123,10 +139,11 @@
 auto ObjectMirror::processEvents(absl::StatusOr<ObjectBatch> batch) -> void
 {
     if (absl::IsOutOfRange(batch.status())) {
-        LogEvent(LogLevel::Info, "mirror-relist").with("kind", this->option.kind).with("revision", this->revision);
+        LogEvent(LogLevel::Info, "mirror-relist")
+            .with("kind", this->option.kind)
+            .with("revision", formatRevision(this->revision));
         this->recordSuccess();
-        this->needsList = true;
-        this->nextCallAt = this->clock.now();
+        this->requestList(this->clock.now());
         return;
     }
     if (!batch.ok()) {
@@ -135,6 +152,13 @@
     }
     this->recordSuccess();
     const auto now = this->clock.now();
+    // Only a list leads from one era to another: the events between them are lost.
+    if (batch->revision.era > this->revision.era)
+        return this->requestList(now);
+    if (batch->revision.era < this->revision.era) {
+        this->nextCallAt = now + this->option.pause;
+        return;
+    }
     auto hasChanged = false;
     auto deleted = std::vector<std::string> {};
     for (auto& object : batch->objects) {
@@ -151,7 +175,7 @@
         this->mirrored.insert_or_assign(object.name, std::move(object));
         hasChanged = true;
     }
-    hasChanged = this->removeOrRetain(deleted, now) || hasChanged;
+    hasChanged = this->removeOrRetain(deleted, false, now) || hasChanged;
     this->revision = std::max(this->revision, batch->revision);
     this->updatePause(now);
     this->nextCallAt = now + (batch->isRelayed ? Duration {} : this->nextPause);
@@ -159,7 +183,7 @@
         this->onChanged(this->mirrored);
 }
 
-auto ObjectMirror::recordChange(const std::string& name, bool isDeleted, std::uint64_t learnedAtRevision) -> void
+auto ObjectMirror::recordChange(const std::string& name, bool isDeleted, const StoreRevision& learnedAtRevision) -> void
 {
     this->lastChanges.insert_or_assign(name, Change { learnedAtRevision, isDeleted });
     if (this->lastChanges.size() <= maxHistoryChanges)
@@ -170,7 +194,7 @@
     this->lastChanges.erase(oldest);
 }
 
-auto ObjectMirror::currentRevision() const -> std::optional<std::uint64_t>
+auto ObjectMirror::currentRevision() const -> std::optional<StoreRevision>
 {
     return this->isListed && !this->needsList && !this->storeBackoff->isUnavailable() ? std::optional { this->revision }
                                                                                       : std::nullopt;
@@ -178,12 +202,12 @@
 
 /// Missing objects that are kept for the grace period are reported to peers as deleted; each host decides by itself how
 /// long to keep them.
-auto ObjectMirror::changesAfter(std::uint64_t since) const -> absl::StatusOr<ObjectBatch>
+auto ObjectMirror::changesAfter(const StoreRevision& since) const -> absl::StatusOr<ObjectBatch>
 {
-    if (!this->currentRevision())
+    if (!this->currentRevision() || since.era > this->revision.era)
         return absl::UnavailableError("object mirror is not up to date with the store");
     auto batch = ObjectBatch { {}, false, this->revision, true };
-    if (since == 0) {
+    if (since == StoreRevision {}) {
         for (const auto& [name, object] : this->mirrored) {
             if (!this->retainedUntil.contains(name))
                 batch.objects.push_back(object);
@@ -213,22 +237,32 @@
 }
 
 /// @return whether an object was removed immediately.
-auto ObjectMirror::removeOrRetain(const std::vector<std::string>& names, TimePoint now) -> bool
+auto ObjectMirror::removeOrRetain(const std::vector<std::string>& names, bool isRestored, TimePoint now) -> bool
 {
-    const auto graceEnd = this->storeBackoff->recoveredAt() + this->option.outageGrace;
-    const auto isInGrace = this->storeBackoff->recoveredAt() != TimePoint {} && now < graceEnd;
-    const auto missing = static_cast<double>(names.size() + this->retainedUntil.size());
-    const auto isMany = missing > static_cast<double>(this->mirrored.size()) * this->option.immediateRemovalFraction;
+    const auto graceEnd = this->retentionEnd(names.size(), isRestored, now);
     auto removedCount = std::size_t { 0 };
     for (const auto& name : names) {
-        if (isInGrace && isMany)
-            this->retainedUntil.try_emplace(name, graceEnd);
+        if (graceEnd)
+            this->retainedUntil.try_emplace(name, *graceEnd);
         else
             removedCount += this->mirrored.erase(name);
     }
     return removedCount > 0;
 }
 
+/// @return the end of the time for which further missing objects are kept, or nothing if they are removed immediately.
+auto ObjectMirror::retentionEnd(std::size_t count, bool isRestored, TimePoint now) const -> std::optional<TimePoint>
+{
+    const auto recoveredAt = this->storeBackoff->recoveredAt();
+    if (isRestored)
+        return this->listNeededAt + this->option.outageGrace;
+    const auto graceEnd = recoveredAt + this->option.outageGrace;
+    const auto isInGrace = recoveredAt != TimePoint {} && now < graceEnd;
+    const auto missing = static_cast<double>(count + this->retainedUntil.size());
+    const auto isMany = missing > static_cast<double>(this->mirrored.size()) * this->option.immediateRemovalFraction;
+    return isInGrace && isMany ? std::optional { graceEnd } : std::nullopt;
+}
+
 auto ObjectMirror::recordSuccess() -> void
 {
     if (this->storeBackoff->recordSuccess(this->clock.now()))
--- a/src/citronloft/fleet/object_mirror_test.cpp
+++ b/src/citronloft/fleet/object_mirror_test.cpp
@@ -9,12 +9,15 @@
 using namespace std::chrono_literals;
 using testing::ElementsAre;
 
+/// @return a revision of the first era of the tests' store, unless another era is given.
+auto at(std::uint64_t number, std::uint64_t era = 1) -> StoreRevision { return { era, number }; }
+
 /// Records calls until the test answers them.
 class ScriptedFeed final : public ObjectFeed {
 public:
     struct Call {
         bool isWatch = false;
-        std::uint64_t revision = 0;
+        StoreRevision revision;
         std::string after;
         Done done;
         Duration wait {};
@@ -22,10 +25,10 @@
 
     auto list(const std::string&, const std::string& after, Done done) -> void override
     {
-        this->calls.push_back({ false, 0, after, std::move(done) });
+        this->calls.push_back({ false, {}, after, std::move(done) });
     }
 
-    auto watch(const std::string&, std::uint64_t revision, Duration wait, Done done) -> void override
+    auto watch(const std::string&, const StoreRevision& revision, Duration wait, Done done) -> void override
     {
         this->calls.push_back({ true, revision, {}, std::move(done), wait });
     }
@@ -69,7 +72,7 @@
     auto startWithList(std::vector<MirroredObject> objects, std::uint64_t revision) -> void
     {
         this->tickFor(0ms);
-        this->feed->answer(ObjectBatch { std::move(objects), false, revision });
+        this->feed->answer(ObjectBatch { std::move(objects), false, at(revision) });
         this->tickFor(0ms);
     }
 
@@ -84,43 +87,43 @@
 TEST_F(ObjectMirrorTest, ListIsReadPageByPageAndWatchedFromItsFirstPage)
 {
     this->tickFor(0ms);
-    this->feed->answer(ObjectBatch { { { "a", 3, "", false } }, true, 7 });
+    this->feed->answer(ObjectBatch { { { "a", at(3), "", false } }, true, at(7) });
     EXPECT_FALSE(this->mirror->isReady());
     EXPECT_EQ(this->feed->calls.back().after, "a");
-    this->feed->answer(ObjectBatch { { { "b", 9, "", false } }, false, 9 });
+    this->feed->answer(ObjectBatch { { { "b", at(9), "", false } }, false, at(9) });
     EXPECT_THAT(this->names(), ElementsAre("a", "b"));
     this->tickFor(0ms);
     EXPECT_TRUE(this->feed->calls.back().isWatch);
-    EXPECT_EQ(this->feed->calls.back().revision, 7U);
+    EXPECT_EQ(this->feed->calls.back().revision, at(7));
 }
 
 TEST_F(ObjectMirrorTest, IgnoresOlderEventsAndLists)
 {
-    this->startWithList({ { "a", 8, "new", false } }, 9);
-    this->feed->answer(ObjectBatch { { { "a", 5, "old", false } }, false, 9 });
+    this->startWithList({ { "a", at(8), "new", false } }, 9);
+    this->feed->answer(ObjectBatch { { { "a", at(5), "old", false } }, false, at(9) });
     EXPECT_EQ(this->mirror->objects().at("a").body, "new");
     this->tickFor(200ms);
     this->feed->answer(absl::OutOfRangeError("gone"));
     this->tickFor(0ms);
-    this->feed->answer(ObjectBatch { { { "a", 4, "older", false } }, false, 6 });
+    this->feed->answer(ObjectBatch { { { "a", at(4), "older", false } }, false, at(6) });
     EXPECT_EQ(this->mirror->objects().at("a").body, "new");
 }
 
 /// Guards against one call per event. Load pattern: many targets start or renew at the same time.
 TEST_F(ObjectMirrorTest, FetchesEventsOfLongBurstInFewCalls)
 {
-    this->startWithList({ { "a", 1, "", false } }, 1);
+    this->startWithList({ { "a", at(1), "", false } }, 1);
     auto watches = 0;
     for (auto revision = std::uint64_t { 2 }; revision < 102; ++revision) {
         this->tickFor(50ms);
         if (this->feed->calls.empty())
             continue;
         ++watches;
-        this->feed->answer(ObjectBatch { { { "a", revision, "", false } }, false, revision });
+        this->feed->answer(ObjectBatch { { { "a", at(revision), "", false } }, false, at(revision) });
     }
     EXPECT_LE(watches, 14) << "in six seconds of events";
     this->tickFor(5s);
-    this->feed->answer(ObjectBatch { { { "a", 200, "", false } }, false, 200 });
+    this->feed->answer(ObjectBatch { { { "a", at(200), "", false } }, false, at(200) });
     this->tickFor(200ms);
     EXPECT_EQ(this->feed->calls.size(), 1U) << "first pause after the end of a burst";
 }
@@ -128,7 +131,7 @@
 TEST_F(ObjectMirrorTest, WatchWaitIsShorterThanStoreHistory)
 {
     constexpr auto history = 20s;
-    this->startWithList({ { "a", 1, "", false } }, 1);
+    this->startWithList({ { "a", at(1), "", false } }, 1);
     EXPECT_LT(this->feed->calls.back().wait, history);
 }
 
@@ -136,12 +139,12 @@
 /// other mirror could call meanwhile. Found by the withdrawal campaign.
 TEST_F(ObjectMirrorTest, ProbeAfterOutageDoesNotWaitForEvents)
 {
-    this->startWithList({ { "a", 1, "", false } }, 1);
+    this->startWithList({ { "a", at(1), "", false } }, 1);
     this->feed->answer(absl::DeadlineExceededError("silent"));
     this->tickFor(300ms);
     ASSERT_EQ(this->feed->calls.size(), 1U);
     EXPECT_LE(this->feed->calls.back().wait, 1ms);
-    this->feed->answer(ObjectBatch { {}, false, 1 });
+    this->feed->answer(ObjectBatch { {}, false, at(1) });
     this->tickFor(300ms);
     EXPECT_GT(this->feed->calls.back().wait, 1s) << "store is available again";
 }
@@ -149,45 +152,45 @@
 TEST_F(ObjectMirrorTest, LongerPauseFetchesMoreEventsPerCall)
 {
     this->mirror->setMaxPause(1200ms);
-    this->startWithList({ { "a", 1, "", false } }, 1);
+    this->startWithList({ { "a", at(1), "", false } }, 1);
     auto watches = 0;
     for (auto revision = std::uint64_t { 2 }; revision < 102; ++revision) {
         this->tickFor(50ms);
         if (this->feed->calls.empty())
             continue;
         ++watches;
-        this->feed->answer(ObjectBatch { { { "a", revision, "", false } }, false, revision });
+        this->feed->answer(ObjectBatch { { { "a", at(revision), "", false } }, false, at(revision) });
     }
     EXPECT_LE(watches, 7) << "in six seconds of events";
 }
 
 TEST_F(ObjectMirrorTest, RemovesDeletedObjectImmediatelyWhileStoreIsAvailable)
 {
-    this->startWithList({ { "a", 1, "", false }, { "b", 2, "", false } }, 2);
-    this->feed->answer(ObjectBatch { { { "a", 3, "", true } }, false, 3 });
+    this->startWithList({ { "a", at(1), "", false }, { "b", at(2), "", false } }, 2);
+    this->feed->answer(ObjectBatch { { { "a", at(3), "", true } }, false, at(3) });
     EXPECT_THAT(this->names(), ElementsAre("b"));
 }
 
 TEST_F(ObjectMirrorTest, KeepsMissingObjectsForGracePeriodAfterOutage)
 {
-    this->startWithList({ { "a", 1, "", false }, { "b", 2, "", false } }, 2);
+    this->startWithList({ { "a", at(1), "", false }, { "b", at(2), "", false } }, 2);
     this->feed->answer(absl::UnavailableError("down"));
     this->tickFor(300ms);
     // The answer that ends the outage reports both as deleted; then one of them registers again.
-    this->feed->answer(ObjectBatch { { { "a", 3, "", true }, { "b", 4, "", true } }, false, 4 });
+    this->feed->answer(ObjectBatch { { { "a", at(3), "", true }, { "b", at(4), "", true } }, false, at(4) });
     EXPECT_THAT(this->names(), ElementsAre("a", "b"));
     this->tickFor(500ms);
-    this->feed->answer(ObjectBatch { { { "b", 5, "", false } }, false, 5 });
+    this->feed->answer(ObjectBatch { { { "b", at(5), "", false } }, false, at(5) });
     this->tickFor(1600ms);
     EXPECT_THAT(this->names(), ElementsAre("b"));
 }
 
 TEST_F(ObjectMirrorTest, RemovesMissingObjectsWithinWithdrawalBound)
 {
-    this->startWithList({ { "a", 1, "", false }, { "b", 2, "", false } }, 2);
+    this->startWithList({ { "a", at(1), "", false }, { "b", at(2), "", false } }, 2);
     this->feed->answer(absl::UnavailableError("down"));
     this->tickFor(300ms);
-    this->feed->answer(ObjectBatch { { { "a", 3, "", true }, { "b", 4, "", true } }, false, 4 });
+    this->feed->answer(ObjectBatch { { { "a", at(3), "", true }, { "b", at(4), "", true } }, false, at(4) });
     this->tickFor(1100ms);
     EXPECT_EQ(this->names().size(), 2U);
     this->tickFor(200ms);
@@ -198,14 +201,92 @@
 {
     auto objects = std::vector<MirroredObject> {};
     for (const auto* name : { "a", "b", "c", "d", "e", "f" })
-        objects.push_back({ name, 1, "", false });
+        objects.push_back({ name, at(1), "", false });
     this->startWithList(objects, 2);
     this->feed->answer(absl::DeadlineExceededError("cut off"));
     this->tickFor(300ms);
-    this->feed->answer(ObjectBatch { { { "a", 3, "", true } }, false, 4 });
+    this->feed->answer(ObjectBatch { { { "a", at(3), "", true } }, false, at(4) });
     EXPECT_THAT(this->names(), ElementsAre("b", "c", "d", "e", "f"));
 }
 
+/// Guards against lists that are discarded as too old after the store was restored from a copy.
+TEST_F(ObjectMirrorTest, ListOfNewEraReplacesCopyWithHigherRevision)
+{
+    this->startWithList({ { "a", at(50), "new", false } }, 51);
+    this->feed->answer(absl::OutOfRangeError("restored"));
+    this->tickFor(0ms);
+    this->feed->answer(ObjectBatch { { { "a", at(40, 2), "restored", false } }, false, at(50, 2) });
+    EXPECT_EQ(this->mirror->objects().at("a").body, "restored");
+    this->tickFor(0ms);
+    EXPECT_EQ(this->feed->calls.back().revision, at(50, 2));
+}
+
+TEST_F(ObjectMirrorTest, ListThatSpansARestoreIsReadAgain)
+{
+    this->tickFor(0ms);
+    this->feed->answer(ObjectBatch { { { "a", at(3), "lost", false } }, true, at(7) });
+    this->feed->answer(ObjectBatch { { { "b", at(2, 2), "", false } }, false, at(5, 2) });
+    EXPECT_FALSE(this->mirror->isReady());
+    ASSERT_EQ(this->feed->calls.size(), 1U);
+    EXPECT_EQ(this->feed->calls.back().after, "");
+    this->feed->answer(ObjectBatch { { { "b", at(2, 2), "", false } }, false, at(5, 2) });
+    EXPECT_THAT(this->names(), ElementsAre("b"));
+}
+
+/// A peer's copy, or an answer that was under way, can be from before a restore.
+TEST_F(ObjectMirrorTest, IgnoresEventsAndListsFromBeforeARestore)
+{
+    this->startWithList({ { "a", at(4, 2), "new", false } }, 5);
+    this->feed->answer(absl::OutOfRangeError("restored"));
+    this->tickFor(0ms);
+    this->feed->answer(ObjectBatch { { { "a", at(4, 2), "new", false } }, false, at(5, 2) });
+    this->tickFor(0ms);
+    this->feed->answer(ObjectBatch { { { "a", at(60), "", true }, { "b", at(61), "", false } }, false, at(61) });
+    EXPECT_THAT(this->names(), ElementsAre("a"));
+    this->tickFor(200ms);
+    this->feed->answer(absl::OutOfRangeError("no history"));
+    this->tickFor(0ms);
+    this->feed->answer(ObjectBatch { { { "b", at(61), "", false } }, false, at(61) });
+    EXPECT_THAT(this->names(), ElementsAre("a"));
+}
+
+TEST_F(ObjectMirrorTest, EventsOfNewEraLeadToAList)
+{
+    this->startWithList({ { "a", at(4), "", false } }, 5);
+    this->feed->answer(ObjectBatch { { { "b", at(6, 2), "", false } }, false, at(6, 2) });
+    EXPECT_THAT(this->names(), ElementsAre("a"));
+    this->tickFor(0ms);
+    EXPECT_FALSE(this->feed->calls.back().isWatch);
+}
+
+TEST_F(ObjectMirrorTest, KeepsObjectsMissingAfterRestoreUntilTheyAreWrittenAgain)
+{
+    this->startWithList({ { "a", at(1), "", false }, { "b", at(2), "", false }, { "c", at(3), "", false },
+                            { "d", at(4), "", false }, { "e", at(5), "", false }, { "f", at(6), "", false } },
+        6);
+    this->feed->answer(absl::OutOfRangeError("restored"));
+    this->tickFor(0ms);
+    this->feed->answer(ObjectBatch { { { "a", at(1, 2), "", false }, { "b", at(2, 2), "", false },
+                                         { "c", at(3, 2), "", false }, { "d", at(4, 2), "", false } },
+        false, at(4, 2) });
+    EXPECT_EQ(this->names().size(), 6U);
+    this->tickFor(500ms);
+    this->feed->answer(ObjectBatch { { { "e", at(5, 2), "", false } }, false, at(5, 2) });
+    this->tickFor(1s);
+    EXPECT_THAT(this->names(), ElementsAre("a", "b", "c", "d", "e"));
+}
+
+TEST_F(ObjectMirrorTest, PeersThatKnowAnEarlierEraMustList)
+{
+    this->startWithList({ { "a", at(50), "", false } }, 50);
+    this->feed->answer(absl::OutOfRangeError("restored"));
+    this->tickFor(0ms);
+    this->feed->answer(ObjectBatch { { { "a", at(40, 2), "", false } }, false, at(41, 2) });
+    EXPECT_TRUE(absl::IsOutOfRange(this->mirror->changesAfter(at(50)).status()));
+    EXPECT_TRUE(absl::IsUnavailable(this->mirror->changesAfter(at(3, 3)).status()));
+    EXPECT_EQ(this->mirror->changesAfter({})->objects.size(), 1U);
+}
+
 TEST_F(ObjectMirrorTest, RetriesFailuresWithBackoff)
 {
     auto calls = 0;
--- a/src/citronloft/fleet/zone_feed.cpp
+++ b/src/citronloft/fleet/zone_feed.cpp
@@ -22,7 +22,7 @@
         this->store->list(kind, after, std::move(done));
         return;
     }
-    this->peers->fetchFeed(this->reader, { kind, 0 },
+    this->peers->fetchFeed(this->reader, { kind, {} },
         [self = this->shared_from_this(), kind, done = std::move(done)](absl::StatusOr<ObjectBatch> batch) mutable {
             if (batch.ok())
                 done(std::move(batch));
@@ -31,7 +31,7 @@
         });
 }
 
-auto ZoneFeed::watch(const std::string& kind, std::uint64_t revision, Duration wait, Done done) -> void
+auto ZoneFeed::watch(const std::string& kind, const StoreRevision& revision, Duration wait, Done done) -> void
 {
     const auto now = this->clock.now();
     auto pendingWatch = PendingWatch { kind, revision, now + wait, std::move(done) };
@@ -75,7 +75,7 @@
 
 /// Fetches changes from the reader, or from the store if the reader fails: the reader's history may be shorter than the
 /// store's, so only the store decides whether a list is needed.
-auto ZoneFeed::fetchFromReader(const std::string& kind, std::uint64_t revision, Done done) -> void
+auto ZoneFeed::fetchFromReader(const std::string& kind, const StoreRevision& revision, Done done) -> void
 {
     this->peers->fetchFeed(this->reader, { kind, revision },
         [self = this->shared_from_this(), kind, revision, done = std::move(done)](
@@ -89,7 +89,7 @@
         });
 }
 
-auto ZoneFeed::readerRevision(const std::string& kind, TimePoint now) const -> std::optional<std::uint64_t>
+auto ZoneFeed::readerRevision(const std::string& kind, TimePoint now) const -> std::optional<StoreRevision>
 {
     if (this->isReader || now - this->lastNoticeAt >= this->option.readerTimeout)
         return std::nullopt;
--- a/src/citronloft/fleet/zone_feed_test.cpp
+++ b/src/citronloft/fleet/zone_feed_test.cpp
@@ -12,6 +12,8 @@
 using testing::SaveArg;
 using testing::StrictMock;
 
+auto at(std::uint64_t number, std::uint64_t era = 1) -> StoreRevision { return { era, number }; }
+
 class FakeClock final : public Clock {
 public:
     [[nodiscard]] auto now() const -> TimePoint override { return this->time; }
@@ -22,7 +24,7 @@
 class MockFeed : public ObjectFeed {
 public:
     MOCK_METHOD(void, list, (const std::string&, const std::string&, Done), (override));
-    MOCK_METHOD(void, watch, (const std::string&, std::uint64_t, Duration, Done), (override));
+    MOCK_METHOD(void, watch, (const std::string&, const StoreRevision&, Duration, Done), (override));
 };
 
 class MockFetcher : public FeedFetcher {
@@ -42,13 +44,13 @@
     auto receiveNotice(std::uint64_t revision) -> void
     {
         auto notice = FeedNotice {};
-        notice.states = { { bucketId("servers"), revision } };
+        notice.states = { { bucketId("servers"), at(revision) } };
         this->feed->processNotice(this->reader, notice, this->clock.time);
     }
 
     auto watch(std::uint64_t revision) -> void
     {
-        this->feed->watch("servers", revision, 18s, [this](absl::StatusOr<ObjectBatch> batch) {
+        this->feed->watch("servers", at(revision), 18s, [this](absl::StatusOr<ObjectBatch> batch) {
             this->answered = true;
             this->status = batch.status();
             this->answer = batch.ok() ? *batch : ObjectBatch {};
@@ -74,7 +76,7 @@
 
 TEST_F(ZoneFeedTest, ReaderWatchesTheStore)
 {
-    EXPECT_CALL(*this->store, watch("servers", 7, Duration { 18s }, _));
+    EXPECT_CALL(*this->store, watch("servers", at(7), Duration { 18s }, _));
     this->feed->tick(true, this->clock.time);
     this->receiveNotice(9);
     this->watch(7);
@@ -88,9 +90,9 @@
     auto done = FeedFetcher::Done {};
     EXPECT_CALL(*this->peers, fetchFeed(this->reader, _, _)).WillOnce(SaveArg<2>(&done));
     this->receiveNotice(9);
-    done(ObjectBatch { {}, false, 9, true });
+    done(ObjectBatch { {}, false, at(9), true });
     EXPECT_TRUE(this->answered);
-    EXPECT_EQ(this->answer.revision, 9U);
+    EXPECT_EQ(this->answer.revision, at(9));
 }
 
 TEST_F(ZoneFeedTest, WatchEndsWithoutEventsWhenItsWaitIsOver)
@@ -102,7 +104,7 @@
         this->advance(250ms);
     }
     EXPECT_TRUE(this->answered);
-    EXPECT_EQ(this->answer.revision, 7U);
+    EXPECT_EQ(this->answer.revision, at(7));
     EXPECT_TRUE(this->answer.objects.empty());
 }
 
@@ -114,7 +116,7 @@
     this->watch(7);
     this->advance(700ms);
     EXPECT_FALSE(this->answered);
-    EXPECT_CALL(*this->store, watch("servers", 7, Duration { 1ms }, _));
+    EXPECT_CALL(*this->store, watch("servers", at(7), Duration { 1ms }, _));
     this->advance(150ms);
 }
 
@@ -122,7 +124,7 @@
 {
     this->follow(7);
     this->watch(7);
-    EXPECT_CALL(*this->store, watch("servers", 7, Duration { 1ms }, _));
+    EXPECT_CALL(*this->store, watch("servers", at(7), Duration { 1ms }, _));
     this->feed->processNotice(this->reader, FeedNotice {}, this->clock.time);
 }
 
@@ -132,7 +134,7 @@
     EXPECT_CALL(*this->peers, fetchFeed(_, _, _)).WillOnce([](const auto&, const auto&, auto done) {
         done(absl::OutOfRangeError("no history"));
     });
-    EXPECT_CALL(*this->store, watch("servers", 7, Duration { 1ms }, _));
+    EXPECT_CALL(*this->store, watch("servers", at(7), Duration { 1ms }, _));
     this->watch(7);
     EXPECT_FALSE(this->answered);
 }
@@ -141,7 +143,7 @@
 {
     this->feed->tick(true, this->clock.time);
     const auto isNoticeDue = [this](std::uint64_t revision) {
-        return this->feed->takeDueNotice({ { bucketId("servers"), revision } }, this->clock.time).has_value();
+        return this->feed->takeDueNotice({ { bucketId("servers"), at(revision) } }, this->clock.time).has_value();
     };
     EXPECT_TRUE(isNoticeDue(7));
     EXPECT_FALSE(isNoticeDue(7));
--- a/src/citronloft/fleet/zone_leader.cpp
+++ b/src/citronloft/fleet/zone_leader.cpp
@@ -160,7 +160,8 @@
         });
 }
 
-auto ZoneLeader::becomeLeader(ZoneShares newLease, std::uint64_t newVersion, TimePoint sentAt, TimePoint now) -> void
+auto ZoneLeader::becomeLeader(ZoneShares newLease, const StoreRevision& newVersion, TimePoint sentAt, TimePoint now)
+    -> void
 {
     const auto isNewZone = newLease.ranges.empty();
     this->storeAnswerAt = now;
@@ -215,7 +216,7 @@
     return plan;
 }
 
-auto ZoneLeader::finishUpdate(const absl::StatusOr<std::uint64_t>& result, const ZoneShares& newShares) -> void
+auto ZoneLeader::finishUpdate(const absl::StatusOr<StoreRevision>& result, const ZoneShares& newShares) -> void
 {
     this->callPending = false;
     if (!this->isLeader)
@@ -256,7 +257,7 @@
 }
 
 /// Makes a stored update of this leader the current state; the lease counts from the time at which it was sent.
-auto ZoneLeader::applyStored(const ZoneShares& storedUpdate, std::uint64_t storedVersion) -> void
+auto ZoneLeader::applyStored(const ZoneShares& storedUpdate, const StoreRevision& storedVersion) -> void
 {
     const auto before = SlotMap(this->shares.ranges);
     const auto after = SlotMap(storedUpdate.ranges);
--- a/tests/fakes/virtual_feed.hpp
+++ b/tests/fakes/virtual_feed.hpp
@@ -37,7 +37,7 @@
 
     auto put(const std::string& kind, const std::string& name, std::string body) -> void
     {
-        auto object = MirroredObject { name, ++this->lastRevision, std::move(body), false };
+        auto object = MirroredObject { name, this->nextRevision(), std::move(body), false };
         this->record({ kind, object });
         this->objects[kind][name] = std::move(object);
         this->notify({ kind, this->objects[kind][name] });
@@ -45,7 +45,7 @@
 
     auto remove(const std::string& kind, const std::string& name) -> void
     {
-        const auto change = Change { kind, { name, ++this->lastRevision, {}, true } };
+        const auto change = Change { kind, { name, this->nextRevision(), {}, true } };
         this->record(change);
         this->objects[kind].erase(name);
         this->notify(change);
@@ -74,40 +74,41 @@
             this->undo.pop_back();
             --this->lastRevision;
         }
-        std::erase_if(
-            this->changes, [this](const auto& change) { return change.second.object.revision > this->lastRevision; });
+        std::erase_if(this->changes,
+            [this](const auto& change) { return change.second.object.revision.number > this->lastRevision; });
+        ++this->era;
         this->oldest = std::min(this->oldest, this->lastRevision);
         return lost;
     }
 
-    [[nodiscard]] auto revision() const -> std::uint64_t { return this->lastRevision; }
+    [[nodiscard]] auto revision() const -> StoreRevision { return { this->era, this->lastRevision }; }
 
     /// @return a page of the objects of a kind that follow `after`.
     auto page(const std::string& kind, const std::string& after) -> ObjectBatch
     {
         constexpr auto pageSize = std::size_t { 10 };
-        auto batch = ObjectBatch { {}, false, this->lastRevision };
+        auto batch = ObjectBatch { {}, false, this->revision() };
         const auto& all = this->objects[kind];
         for (auto item = all.upper_bound(after); item != all.end(); ++item) {
             if (batch.objects.size() == pageSize) {
                 batch.hasMore = true;
                 break;
             }
-            batch.objects.push_back(item->second);
+            batch.objects.push_back(this->inCurrentEra(item->second));
         }
         return batch;
     }
 
     /// @return the changes after a revision, or OutOfRange.
-    auto changesAfter(const std::string& kind, std::uint64_t revision) -> absl::StatusOr<ObjectBatch>
+    auto changesAfter(const std::string& kind, const StoreRevision& after) -> absl::StatusOr<ObjectBatch>
     {
         this->trimHistory();
-        if (revision < this->oldest || revision > this->lastRevision)
-            return absl::OutOfRangeError("revision is older than the retained history");
-        auto batch = ObjectBatch { {}, false, this->lastRevision };
+        if (after.era != this->era || after.number < this->oldest)
+            return absl::OutOfRangeError("revision is not part of the retained history");
+        auto batch = ObjectBatch { {}, false, this->revision() };
         for (const auto& [at, change] : this->changes) {
-            if (change.kind == kind && change.object.revision > revision)
-                batch.objects.push_back(change.object);
+            if (change.kind == kind && change.object.revision.number > after.number)
+                batch.objects.push_back(this->inCurrentEra(change.object));
         }
         return batch;
     }
@@ -129,6 +130,15 @@
         std::optional<MirroredObject> before;
     };
 
+    auto nextRevision() -> StoreRevision { return { this->era, ++this->lastRevision }; }
+
+    /// @return an object as the store reports it: its revision is of the era of the answer.
+    [[nodiscard]] auto inCurrentEra(MirroredObject object) const -> MirroredObject
+    {
+        object.revision.era = this->era;
+        return object;
+    }
+
     /// Records a change that is about to be made.
     auto record(const Change& change) -> void
     {
@@ -150,7 +160,7 @@
     auto trimHistory() -> void
     {
         while (!this->changes.empty() && this->changes.front().first <= this->events.now() - this->history) {
-            this->oldest = this->changes.front().second.object.revision;
+            this->oldest = this->changes.front().second.object.revision.number;
             this->changes.pop_front();
         }
     }
@@ -163,6 +173,7 @@
     std::vector<Undo> undo;
     std::uint64_t oldest = 0;
     std::uint64_t lastRevision = 0;
+    std::uint64_t era = 0;
     std::map<std::uint64_t, Waiter> waiters;
     std::uint64_t lastWaiter = 0;
 };
@@ -209,7 +220,7 @@
             std::move(done), [this, kind, after](auto number) { this->answer(number, this->store.page(kind, after)); });
     }
 
-    auto watch(const std::string& kind, std::uint64_t revision, Duration wait, Done done) -> void override
+    auto watch(const std::string& kind, const StoreRevision& revision, Duration wait, Done done) -> void override
     {
         this->start(std::move(done), [this, kind, revision, wait](auto number) {
             auto found = this->store.changesAfter(kind, revision);
--- a/tests/fakes/virtual_world.cpp
+++ b/tests/fakes/virtual_world.cpp
@@ -80,22 +80,22 @@
             std::move(done), false, [this, key] { return this->read(key); });
     }
 
-    auto put(const std::string& key, std::string value, std::uint64_t expected, PutDone done) -> void override
+    auto put(const std::string& key, std::string value, const StoreRevision& expected, PutDone done) -> void override
     {
-        this->call<PutDone, absl::StatusOr<std::uint64_t>>(
-            std::move(done), true, [this, key, value = std::move(value), expected]() -> absl::StatusOr<std::uint64_t> {
+        this->call<PutDone, absl::StatusOr<StoreRevision>>(
+            std::move(done), true, [this, key, value = std::move(value), expected]() -> absl::StatusOr<StoreRevision> {
                 auto& object = this->world.objects[key];
                 if (object.version != expected)
                     return absl::AbortedError("version mismatch");
                 object.oldValue = object.value;
                 object.oldVersion = object.version;
                 object.value = value;
-                object.version = ++this->world.lastVersion;
+                object.version = { this->world.storeEra, ++this->world.lastVersion };
                 return object.version;
             });
     }
 
-    auto watch(const std::string& key, std::uint64_t after, Duration wait, GetDone done) -> void override
+    auto watch(const std::string& key, const StoreRevision& after, Duration wait, GetDone done) -> void override
     {
         constexpr auto pollInterval = std::chrono::milliseconds { 20 };
         const auto found = this->world.objects.find(key);
@@ -125,6 +125,8 @@
         done(keys);
     }
 
+    [[nodiscard]] auto era() const -> std::uint64_t override { return this->world.storeEra; }
+
 private:
     [[nodiscard]] auto isReachable() const -> bool
     {
@@ -138,7 +140,7 @@
         if (found == this->world.objects.end())
             return absl::NotFoundError("no such object");
         const auto& object = found->second;
-        if (object.oldVersion > 0 && this->world.random(this->world.faults.staleReads))
+        if (object.oldVersion > absentVersion && this->world.random(this->world.faults.staleReads))
             return StoredObject { object.oldValue, object.oldVersion };
         return StoredObject { object.value, object.version };
     }
--- a/tests/fakes/virtual_world.hpp
+++ b/tests/fakes/virtual_world.hpp
@@ -133,9 +133,9 @@
 
     struct Object {
         std::string value;
-        std::uint64_t version = 0;
+        StoreRevision version;
         std::string oldValue;
-        std::uint64_t oldVersion = 0;
+        StoreRevision oldVersion;
     };
 
     auto deliver(Node& node, std::function<void()> action) -> void;
@@ -147,6 +147,7 @@
     WorldOption option;
     std::map<std::string, Object> objects;
     std::uint64_t lastVersion = 0;
+    std::uint64_t storeEra = 0;
     std::uint64_t lastIncarnation = 0;
 };
 
