A host registers again when the restored store lacks its object

A host that registered within the lost seconds was in no list that a starting host reads afterwards; starting hosts then find others only through seeds, and count too few hosts where the fleet divides a rate evenly.

Change: when the store's era rises, each host reads its own object once, spread over two seconds, and registers again if it is missing. A read does not count toward the limit on writes; 7,600 hosts need 7,600 reads of 2,000 a second, and writes only where something is missing.

RegistersAgainWhenRestoredStoreLacksItsObject and ReadsItsObjectOnceAfterARestore fail on the code before (0 objects, 0 calls) and pass.

--- a/include/citronloft/fleet/host_registry.hpp
+++ b/include/citronloft/fleet/host_registry.hpp
@@ -25,7 +25,8 @@
 /// @brief Registers this host once and reads the list of registered hosts. Membership tracks which of them are live.
 ///
 /// A host's object is written at its first start and never removed, so that when the whole fleet restarts every host
-/// finds the others with one list call.
+/// finds the others with one list call. A store that was restored from a copy may lack the object; each host then reads
+/// its own, and writes it again if it is missing.
 class HostRegistry : public std::enable_shared_from_this<HostRegistry> {
 public:
     using ListedCallback = std::function<void(const std::vector<RegisteredHost>&)>;
@@ -42,6 +43,8 @@
 private:
     auto registerSelf() -> void;
     auto readList() -> void;
+    auto confirmRegistration() -> void;
+    [[nodiscard]] auto delayUpTo(Duration limit) -> Duration;
     auto scheduleRetry() -> void;
 
     RegisteredHost self;
@@ -52,6 +55,10 @@
     bool isCallPending = false;
     bool isRegistered = false;
     bool isListed = false;
+    /// Newest era of the store that is known to contain this host's object.
+    std::uint64_t confirmedEra = 0;
+    /// Newest era of the store for which a confirmation is scheduled.
+    std::uint64_t scheduledEra = 0;
     Duration backoff {};
     TimePoint nextCallAt {};
 };
--- a/src/citronloft/fleet/host_registry.cpp
+++ b/src/citronloft/fleet/host_registry.cpp
@@ -12,6 +12,8 @@
 constexpr auto separator = '_';
 /// Delay between registering and reading the list, in which other hosts that start at the same time can register.
 constexpr auto listDelay = std::chrono::milliseconds { 700 };
+/// Maximum delay after a restore of the store, over which the hosts of a fleet spread their calls.
+constexpr auto maxConfirmationDelay = std::chrono::seconds { 2 };
 constexpr auto minBackoff = std::chrono::milliseconds { 200 };
 constexpr auto maxBackoff = std::chrono::milliseconds { 3200 };
 
@@ -38,12 +40,20 @@
 
 auto HostRegistry::tick(TimePoint now) -> void
 {
-    if (this->isCallPending || this->isListed || now < this->nextCallAt)
+    const auto isRestored = this->isRegistered && this->store->era() > this->confirmedEra;
+    if (isRestored && this->store->era() > this->scheduledEra) {
+        this->scheduledEra = this->store->era();
+        this->nextCallAt = now + this->delayUpTo(maxConfirmationDelay);
+    }
+    const auto isComplete = this->isRegistered && this->isListed && !isRestored;
+    if (this->isCallPending || isComplete || now < this->nextCallAt)
         return;
-    if (this->isRegistered)
-        this->readList();
-    else
+    if (!this->isRegistered)
         this->registerSelf();
+    else if (isRestored)
+        this->confirmRegistration();
+    else
+        this->readList();
 }
 
 auto HostRegistry::registerSelf() -> void
@@ -57,10 +67,31 @@
         }
         // Aborted means that this address has registered before.
         self->isRegistered = true;
+        self->confirmedEra = version.ok() ? version->era : self->store->era();
         self->nextCallAt = self->clock.now() + (version.ok() ? listDelay : Duration {});
     });
 }
 
+/// Reads this host's own object; a read does not count toward the store's limit on writes.
+auto HostRegistry::confirmRegistration() -> void
+{
+    this->isCallPending = true;
+    this->store->get(encodeKey(this->self), [self = this->shared_from_this()](const auto& object) {
+        self->isCallPending = false;
+        if (object.ok()) {
+            self->confirmedEra = object->version.era;
+            return;
+        }
+        if (!absl::IsNotFound(object.status())) {
+            self->scheduleRetry();
+            return;
+        }
+        LogEvent(LogLevel::Info, "registration-lost").with("era", self->store->era());
+        self->isRegistered = false;
+        self->nextCallAt = self->clock.now();
+    });
+}
+
 auto HostRegistry::readList() -> void
 {
     this->isCallPending = true;
@@ -82,8 +113,13 @@
 auto HostRegistry::scheduleRetry() -> void
 {
     this->backoff = std::clamp<Duration>(this->backoff * 2, minBackoff, maxBackoff);
+    this->nextCallAt = this->clock.now() + this->backoff / 2 + this->delayUpTo(this->backoff / 2);
+}
+
+auto HostRegistry::delayUpTo(Duration limit) -> Duration
+{
     constexpr auto steps = 1000U;
-    this->nextCallAt = this->clock.now() + this->backoff / 2 + this->backoff / 2 * this->random(steps) / steps;
+    return limit * this->random(steps) / steps;
 }
 
 } // namespace citronloft
--- a/src/citronloft/fleet/host_registry_test.cpp
+++ b/src/citronloft/fleet/host_registry_test.cpp
@@ -12,7 +12,15 @@
 /// Answers immediately; fails while `isDown`.
 class FakeKeyStore final : public ObjectStore {
 public:
-    auto get(const std::string&, GetDone done) -> void override { done(absl::NotFoundError("")); }
+    auto get(const std::string& key, GetDone done) -> void override
+    {
+        ++this->calls;
+        if (this->isDown)
+            return done(absl::UnavailableError("down"));
+        if (std::ranges::find(this->keys, key) == this->keys.end())
+            return done(absl::NotFoundError(""));
+        done(StoredObject { {}, { this->currentEra, 1 } });
+    }
 
     auto put(const std::string& key, std::string, const StoreRevision&, PutDone done) -> void override
     {
@@ -22,7 +30,7 @@
         if (std::ranges::find(this->keys, key) != this->keys.end())
             return done(absl::AbortedError("exists"));
         this->keys.push_back(key);
-        done(StoreRevision { 0, 1 });
+        done(StoreRevision { this->currentEra, 1 });
     }
 
     auto watch(const std::string&, const StoreRevision&, Duration, GetDone) -> void override { }
@@ -45,19 +53,29 @@
 
 class HostRegistryTest : public testing::Test {
 protected:
-    auto run(const std::string& zone, const std::string& ip, Duration time) -> std::vector<RegisteredHost>
+    auto start(const std::string& zone, const std::string& ip) -> std::shared_ptr<HostRegistry>
+    {
+        this->known.clear();
+        return std::make_shared<HostRegistry>(RegisteredHost { zone, ip }, this->clock, this->store, 1,
+            [this](const auto& hosts) { this->known = hosts; });
+    }
+
+    auto tick(HostRegistry& registry, Duration time) -> void
     {
-        auto known = std::vector<RegisteredHost> {};
-        const auto registry = std::make_shared<HostRegistry>(
-            RegisteredHost { zone, ip }, this->clock, this->store, 1, [&](const auto& hosts) { known = hosts; });
         for (auto passed = Duration {}; passed < time; passed += 10ms) {
-            registry->tick(this->clock.now());
+            registry.tick(this->clock.now());
             this->clock.advance(10ms);
         }
-        return known;
+    }
+
+    auto run(const std::string& zone, const std::string& ip, Duration time) -> std::vector<RegisteredHost>
+    {
+        this->tick(*this->start(zone, ip), time);
+        return this->known;
     }
 
     ManualClock clock;
+    std::vector<RegisteredHost> known;
     std::shared_ptr<FakeKeyStore> store = std::make_shared<FakeKeyStore>();
 };
 
@@ -77,6 +95,27 @@
     EXPECT_EQ(this->store->calls, 2);
 }
 
+/// Guards against hosts that starting hosts cannot find, since the store was restored from a copy without them.
+TEST_F(HostRegistryTest, RegistersAgainWhenRestoredStoreLacksItsObject)
+{
+    const auto registry = this->start("zone_a", "10.1.0.1");
+    this->tick(*registry, 1s);
+    this->store->keys.clear();
+    this->store->currentEra = 1;
+    this->tick(*registry, 3s);
+    EXPECT_EQ(this->store->keys.size(), 1U);
+}
+
+TEST_F(HostRegistryTest, ReadsItsObjectOnceAfterARestore)
+{
+    const auto registry = this->start("zone_a", "10.1.0.1");
+    this->tick(*registry, 1s);
+    this->store->calls = 0;
+    this->store->currentEra = 1;
+    this->tick(*registry, 10s);
+    EXPECT_EQ(this->store->calls, 1);
+}
+
 TEST_F(HostRegistryTest, RetriesWithBackoffWhileStoreIsDown)
 {
     this->store->isDown = true;
