Targets in a restored copy are not taken for later than what is known of them

A copy shows targets as they were some seconds before: as ready though they are leaving, as present though they are gone, and as cold though that time is over. By era and revision such an entry is newer than what a host knows, and the target would get requests again after its drain time.

Change: entries of a later era are compared with what is known of the target's run, by its start and the sequence of its statements. What is no later does not replace what is known; a target that was gone is ignored until it reports again, or for the six seconds in which the platform removes a silent entry. Targets without a sequence are taken as the store shows them.

--- a/include/citronloft/fleet/discovery.hpp
+++ b/include/citronloft/fleet/discovery.hpp
@@ -25,6 +25,8 @@
 struct TargetEntry {
     std::string pool;
     LiveTarget live;
+    /// Rises with each statement of one run of the target; 0 if the platform does not state it.
+    std::uint64_t sequence = 0;
     /// Time for which the target remains cold after decoding; 0 if it is warm.
     std::chrono::milliseconds coldFor {};
 };
@@ -58,6 +60,10 @@
 };
 
 /// @brief Mirrors a platform's objects and reports their decoded contents to a listener.
+///
+/// A store that was restored from a copy shows targets as they were earlier: as ready though they are leaving, or as
+/// present though they are gone. What this host knows of a target's run is replaced only by a later statement of that
+/// run, or of a later run.
 class Discovery {
 public:
     Discovery(const Clock& clock, Metrics& metrics, std::shared_ptr<ObjectFeed> feed,
@@ -84,6 +90,14 @@
     struct CachedEntry {
         StoreRevision revision;
         std::optional<TargetEntry> entry;
+        /// Until then the entry is ignored, as the target was gone before the store was restored.
+        TimePoint ignoredUntil {};
+    };
+
+    /// A target whose object was removed.
+    struct DepartedTarget {
+        CachedEntry last;
+        TimePoint forgetAt;
     };
 
     [[nodiscard]] auto mirrors() const -> std::array<const ObjectMirror*, 3>;
@@ -91,6 +105,8 @@
     auto updateTargets(const ObjectMirror::Objects& objects) -> void;
     auto updateEvacuatedZones(const ObjectMirror::Objects& objects) -> void;
     auto decode(const MirroredObject& object) -> std::optional<TargetEntry>;
+    auto update(const MirroredObject& object, const std::optional<CachedEntry>& known) -> CachedEntry;
+    auto recordDepartures(const ObjectMirror::Objects& objects) -> void;
 
     const Clock& clock;
     Metrics& metrics;
@@ -100,6 +116,9 @@
     std::shared_ptr<ObjectMirror> targets;
     std::shared_ptr<ObjectMirror> evacuations;
     std::map<std::string, CachedEntry> entries;
+    std::map<std::string, DepartedTarget> departed;
+    /// End of the earliest time for which an entry is ignored.
+    TimePoint nextTargetUpdateAt = TimePoint::max();
     StoreRevision configRevision;
 };
 
--- a/src/citronloft/fleet/discovery.cpp
+++ b/src/citronloft/fleet/discovery.cpp
@@ -14,6 +14,20 @@
 constexpr auto minBurstPause = std::chrono::milliseconds { 600 };
 /// Half of the shortest time in which a leaving target must be out of use (2.5 s).
 constexpr auto maxBurstPause = std::chrono::milliseconds { 1200 };
+/// Maximum age of a copy from which the store is restored.
+constexpr auto maxCopyAge = std::chrono::seconds { 60 };
+/// Time for which a target that was gone before a restore is ignored. By then the platform has removed its object
+/// again, which it does after three silent heartbeat intervals (1.5 s), or has heard of it.
+constexpr auto departedIgnoreTime = std::chrono::seconds { 6 };
+
+/// @return whether what a copy of the store says of a target is no later than what is known. A run of a target whose
+/// statements have no sequence leaves that open.
+auto isOutdated(const TargetEntry& copied, const TargetEntry& known) -> bool
+{
+    if (copied.live.startedAtMs != known.live.startedAtMs)
+        return copied.live.startedAtMs < known.live.startedAtMs;
+    return copied.sequence > 0 && copied.sequence <= known.sequence;
+}
 
 } // namespace
 
@@ -41,6 +55,8 @@
     this->configs->tick(now);
     this->targets->tick(now);
     this->evacuations->tick(now);
+    if (now >= this->nextTargetUpdateAt)
+        this->updateTargets(this->targets->objects());
 }
 
 auto Discovery::setReaderCount(std::size_t hosts) -> void
@@ -100,13 +116,21 @@
 
 auto Discovery::updateTargets(const ObjectMirror::Objects& objects) -> void
 {
+    const auto now = this->clock.now();
+    this->recordDepartures(objects);
+    this->nextTargetUpdateAt = TimePoint::max();
     auto found = DiscoveredTargets {};
     auto current = std::map<std::string, CachedEntry> {};
     for (const auto& [name, object] : objects) {
         const auto old = this->entries.find(name);
-        const auto isKnown = old != this->entries.end() && old->second.revision == object.revision;
-        auto known = isKnown ? std::move(old->second) : CachedEntry { object.revision, this->decode(object) };
-        if (known.entry)
+        const auto isKnown = old != this->entries.end();
+        const auto isUnchanged = isKnown && old->second.revision == object.revision;
+        auto known = isUnchanged
+            ? std::move(old->second)
+            : this->update(object, isKnown ? std::optional { std::move(old->second) } : std::nullopt);
+        if (now < known.ignoredUntil)
+            this->nextTargetUpdateAt = std::min(this->nextTargetUpdateAt, known.ignoredUntil);
+        else if (known.entry)
             found[known.entry->pool].push_back(known.entry->live);
         current.emplace(name, std::move(known));
     }
@@ -114,6 +138,43 @@
     this->listener.onTargets(std::move(found));
 }
 
+/// Remembers the targets whose objects are no longer present for as long as a copy of the store can contain them.
+auto Discovery::recordDepartures(const ObjectMirror::Objects& objects) -> void
+{
+    const auto now = this->clock.now();
+    std::erase_if(this->departed, [&](const auto& item) { return now >= item.second.forgetAt; });
+    for (auto& [name, known] : this->entries) {
+        if (known.entry && !objects.contains(name))
+            this->departed.insert_or_assign(name, DepartedTarget { std::move(known), now + maxCopyAge });
+    }
+}
+
+/// @return the entry for a new or changed object; what is known instead if the object is from a copy of the store and
+/// not later than that.
+auto Discovery::update(const MirroredObject& object, const std::optional<CachedEntry>& known) -> CachedEntry
+{
+    auto updated = CachedEntry { object.revision, this->decode(object) };
+    if (!updated.entry)
+        return updated;
+    const auto isOutdatedBy = [&](const CachedEntry& other) {
+        return other.entry && object.revision.era > other.revision.era && isOutdated(*updated.entry, *other.entry);
+    };
+    if (known && isOutdatedBy(*known)) {
+        updated.entry = known->entry;
+        updated.ignoredUntil = known->ignoredUntil;
+        return updated;
+    }
+    const auto gone = this->departed.find(object.name);
+    if (gone == this->departed.end() || !isOutdatedBy(gone->second.last))
+        return updated;
+    LogEvent(LogLevel::Info, "target-outdated")
+        .with("target", updated.entry->live.key())
+        .with("revision", formatRevision(object.revision))
+        .with("known_revision", formatRevision(gone->second.last.revision));
+    updated.ignoredUntil = this->clock.now() + departedIgnoreTime;
+    return updated;
+}
+
 auto Discovery::decode(const MirroredObject& object) -> std::optional<TargetEntry>
 {
     auto entry = this->decoder->decodeTarget(object);
--- a/src/citronloft/fleet/withdrawal_bound_test.cpp
+++ b/src/citronloft/fleet/withdrawal_bound_test.cpp
@@ -36,7 +36,7 @@
 
     [[nodiscard]] auto decodeTarget(const MirroredObject& object) const -> absl::StatusOr<TargetEntry> override
     {
-        auto entry = TargetEntry { "pool", {}, {} };
+        auto entry = TargetEntry { "pool", {}, 0, {} };
         entry.live.target = { object.name, "a1", 8 };
         entry.live.target.draining = object.body == "draining";
         return entry;
