Zone leaders do not trust a division of slots from a restored copy

From a copy, a candidate took the lease at once if the copy showed none, with an epoch that had been used, and granted slots by a division that had since changed: two hosts held the same slot and together admitted more than the rate. A leader that was alive waited for a version that the store no longer had.

Change: the object states the era in which it was written, so that a copy shows. A leader with a valid lease writes its own state again; no other host can have become leader meanwhile. Without such a leader, a candidate waits for a complete leader's lease also where the copy shows none, and divides the slots anew after a complete lease of hosts; it grants nothing before. Epochs of an era start above all of the eras before. For the hosts of a zone that lost its leader together with the store, that costs up to the time of both leases; the other cases cost nothing.

The simulated store left empty objects behind after failed writes, which a restore made visible; it no longer does.

--- a/include/citronloft/fleet/zone_leader.hpp
+++ b/include/citronloft/fleet/zone_leader.hpp
@@ -25,10 +25,15 @@
     /// Incremented with every update, so that a renewal changes the object even if nothing else differs.
     std::uint64_t renewals = 0;
     std::vector<SlotRange> ranges;
+    /// Era of the store in which this was written; an object of an earlier one is from a copy.
+    std::uint64_t era = 0;
+    /// Hosts may hold slots that `ranges` does not show: an earlier division was lost when the store was restored.
+    bool isDivisionUnknown = false;
 
     template <typename Archive> auto serialize(Archive& archive) -> void
     {
-        archive(this->epoch, this->zoneLeader, this->leaderAddress, this->renewals, this->ranges);
+        archive(this->epoch, this->zoneLeader, this->leaderAddress, this->renewals, this->ranges, this->era,
+            this->isDivisionUnknown);
     }
 };
 
@@ -42,6 +47,10 @@
 /// lease that an earlier leader can have granted has expired. Slots move only through a successful conditional update,
 /// so none moves during an outage of the store. A leader whose lease has expired confirms no renewals until the store
 /// has answered; in the meantime its hosts continue on their own (SlotLeaseHolder).
+///
+/// After a restore of the store the object can be older than what was acknowledged. A leader with a valid lease writes
+/// its own state again. Without one, a candidate waits for a complete leader's lease, even if the object shows none,
+/// and divides the slots anew once every lease of hosts has expired.
 class ZoneLeader : public std::enable_shared_from_this<ZoneLeader> {
 public:
     ZoneLeader(LeaseTerms terms, std::uint64_t incarnation, std::string zone, const Clock& clock,
@@ -81,14 +90,18 @@
     auto pollLease(TimePoint now) -> void;
     auto processShares(const StoredObject& object, TimePoint now) -> void;
     auto takeOver(TimePoint now) -> void;
+    auto processMissingShares(TimePoint now) -> void;
+    auto observe(const ZoneShares& found, const StoreRevision& foundVersion, TimePoint now) -> void;
     auto becomeLeader(ZoneShares newLease, const StoreRevision& version, TimePoint sentAt, TimePoint now) -> void;
     auto stepDown() -> void;
     auto sendUpdate(TimePoint now) -> void;
     auto finishUpdate(const absl::StatusOr<StoreRevision>& result, const ZoneShares& newShares) -> void;
     auto resolveConflict() -> void;
+    auto replaceCopy(const ZoneShares& copy, const StoreRevision& copyVersion) -> void;
     auto applyStored(const ZoneShares& storedUpdate, const StoreRevision& storedVersion) -> void;
     [[nodiscard]] auto hasValidLease(TimePoint now) const -> bool;
     [[nodiscard]] auto planSlots(TimePoint now) const -> SlotMap;
+    [[nodiscard]] auto haveEarlierLeasesExpired(TimePoint now) const -> bool;
     [[nodiscard]] auto liveHolders(TimePoint now) const -> std::vector<std::uint64_t>;
     [[nodiscard]] auto grantedSlots(std::uint64_t holder, TimePoint now) const -> std::vector<SlotRange>;
     [[nodiscard]] auto evenShare(TimePoint now) const -> std::size_t;
--- a/src/citronloft/fleet/rate_bound_test.cpp
+++ b/src/citronloft/fleet/rate_bound_test.cpp
@@ -38,7 +38,18 @@
     [](const auto& info) { return info.param.name; });
 
 /// Under random faults the fleet-wide bound must hold in every window, allowing only for the stated clock drift.
-class RateBound : public FleetHostTest, public testing::WithParamInterface<int> { };
+class RateBound : public FleetHostTest, public testing::WithParamInterface<int> {
+protected:
+    auto restartRandomHost() -> void
+    {
+        const auto index = this->randomHost();
+        const auto zone = this->world->nodes[index]->zone;
+        if (!this->world->nodes[index]->alive)
+            return;
+        this->world->crash(index);
+        this->world->startHost(zone);
+    }
+};
 
 TEST_P(RateBound, HoldsUnderRandomFaults)
 {
@@ -85,6 +96,32 @@
         EXPECT_TRUE(std::ranges::is_sorted(node->versions));
 }
 
+/// Guards against slots that two hosts hold, since a restored store shows an earlier division of them.
+TEST_P(RateBound, HoldsWhenStoreIsRestoredFromCopy)
+{
+    const auto seed = static_cast<std::uint64_t>(GetParam());
+    constexpr auto rate = 200.0;
+    constexpr auto burst = 60.0;
+    this->start({ .seed = seed }, rate, burst);
+    auto& world = *this->world;
+    auto callers = Callers(world, rate, burst);
+    for (auto round = 0; round < 12; ++round) {
+        this->restartRandomHost();
+        callers.load(rate * 2, std::chrono::seconds { 1 + world.generator(12) }, [&] { return this->randomHost(); });
+        world.faults.storeDown = world.random(0.7);
+        callers.load(rate * 2, std::chrono::milliseconds { world.generator(4000) }, [&] { return this->randomHost(); });
+        if (world.random(0.7))
+            world.restoreStore(std::chrono::milliseconds { 200 + world.generator(20000) });
+        world.faults.storeDown = false;
+        this->restartRandomHost();
+    }
+    EXPECT_TRUE(world.runUntil([&] { return allZonesFull(world, this->zones); }, 90s)) << "seed " << seed;
+    callers.load(rate * 2, 15s, [&] { return this->randomHost(); });
+    EXPECT_GT(callers.admitted, 0U);
+    EXPECT_EQ(callers.sharedSlot, "") << "seed " << seed;
+    EXPECT_LE(callers.excess(), 1e-6) << "seed " << seed;
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, RateBound, testing::ValuesIn(campaignSeeds()));
 
 } // namespace
--- a/src/citronloft/fleet/zone_leader.cpp
+++ b/src/citronloft/fleet/zone_leader.cpp
@@ -13,6 +13,9 @@
 constexpr auto minMoveInterval = std::chrono::milliseconds { 500 };
 /// Delay before the slots of a new zone are first assigned, in which the zone's hosts can report.
 constexpr auto newZoneDelay = std::chrono::milliseconds { 1500 };
+/// Epochs of an era of the store; each era starts with the next multiple, so that epochs whose record was lost in a
+/// restore are not used again.
+constexpr auto epochsPerEra = std::uint32_t { 1U << 16U };
 
 } // namespace
 
@@ -51,7 +54,7 @@
 
 auto ZoneLeader::receive(const RenewRequest& request, const Address& from, TimePoint now) -> void
 {
-    if (!this->isLeader || !this->hasValidLease(now))
+    if (!this->isLeader || !this->hasValidLease(now) || this->shares.isDivisionUnknown)
         return;
     auto& holder = this->holders[request.incarnation];
     if (request.sequence <= holder.sequence)
@@ -110,10 +113,7 @@
             return;
         }
         if (absl::IsNotFound(result.status())) {
-            self->storeAnswerAt = time;
-            self->version = absentVersion;
-            self->shares = {};
-            self->takeOver(time);
+            self->processMissingShares(time);
             return;
         }
         // After an outage the current leader gets time to renew first.
@@ -129,27 +129,51 @@
         LogEvent(LogLevel::Error, "zone-shares-malformed").with("zone", this->zone);
         return;
     }
-    const auto isFree = found->zoneLeader == this->incarnation || found->zoneLeader == 0;
-    if (object.version != this->version || this->unchangedSince == TimePoint {}) {
-        this->version = object.version;
-        this->shares = *found;
-        this->unchangedSince = now;
-    }
+    this->observe(*found, object.version, now);
     this->membership.addSeed(found->leaderAddress);
+    const auto isCopy = found->era < object.version.era;
+    const auto isFree = !isCopy && (found->zoneLeader == this->incarnation || found->zoneLeader == 0);
     const auto isUnrenewed = now - this->unchangedSince > this->terms.outlast(this->terms.leaderLease);
     if (isFree || (isUnrenewed && now >= this->earliestTakeover))
         this->takeOver(now);
 }
 
+/// Takes over a zone without an object. If the store was restored, the object of a live leader may be lost.
+auto ZoneLeader::processMissingShares(TimePoint now) -> void
+{
+    const auto era = this->store->era();
+    this->storeAnswerAt = now;
+    this->observe({}, { era, 0 }, now);
+    if (era == 0 || now - this->unchangedSince > this->terms.outlast(this->terms.leaderLease))
+        this->takeOver(now);
+}
+
+auto ZoneLeader::observe(const ZoneShares& found, const StoreRevision& foundVersion, TimePoint now) -> void
+{
+    if (foundVersion == this->version && this->unchangedSince != TimePoint {})
+        return;
+    this->version = foundVersion;
+    this->shares = found;
+    this->unchangedSince = now;
+}
+
 auto ZoneLeader::takeOver(TimePoint now) -> void
 {
     auto newLease = this->shares;
-    newLease.epoch = std::max(this->shares.epoch, this->membership.maxLeaderEpoch()) + 1;
+    const auto era = this->version.era;
+    if (newLease.era < era) {
+        newLease.era = era;
+        newLease.ranges.clear();
+        newLease.isDivisionUnknown = true;
+    }
+    const auto firstEpoch = static_cast<std::uint32_t>(era) * epochsPerEra;
+    newLease.epoch = std::max({ this->shares.epoch, this->membership.maxLeaderEpoch(), firstEpoch }) + 1;
     newLease.zoneLeader = this->incarnation;
     newLease.leaderAddress = this->membership.self().peerAddress();
     ++newLease.renewals;
     this->callPending = true;
-    this->store->put(zoneSharesKey(this->zone), encode(newLease), this->version,
+    const auto expected = this->version.number == 0 ? absentVersion : this->version;
+    this->store->put(zoneSharesKey(this->zone), encode(newLease), expected,
         [self = this->shared_from_this(), newLease, now](const auto& result) {
             self->callPending = false;
             const auto time = self->clock.now();
@@ -195,8 +219,10 @@
     newShares.renewals = ++this->lastRenewal;
     this->sentUpdates[newShares.renewals] = now;
     // If the lease has expired, this update only renews it; slots move with a later update.
-    if (this->hasValidLease(now))
+    if (this->hasValidLease(now)) {
+        newShares.isDivisionUnknown = this->shares.isDivisionUnknown && !this->haveEarlierLeasesExpired(now);
         newShares.ranges = this->reserveMoves(this->planSlots(now)).ranges();
+    }
     if (this->leaving && SlotMap(newShares.ranges).count(this->incarnation) == 0)
         newShares.zoneLeader = 0;
     this->nextCallAt = now + this->terms.leaderRenewalInterval;
@@ -234,18 +260,25 @@
         this->resolveConflict();
 }
 
-/// Reads the object back after a conflict, which is caused by an earlier update of this leader whose reply was lost, or
-/// by another leader.
+/// Reads the object back after a conflict, which is caused by an earlier update of this leader whose reply was lost, by
+/// another leader, or by a restore of the store.
 auto ZoneLeader::resolveConflict() -> void
 {
     this->callPending = true;
     this->store->get(zoneSharesKey(this->zone), [self = this->shared_from_this()](const auto& result) {
         self->callPending = false;
+        if (!self->isLeader)
+            return;
+        const auto isRestored = self->store->era() > self->version.era;
+        if (absl::IsNotFound(result.status()) && isRestored)
+            return self->replaceCopy({}, absentVersion);
         // The conflict proved that the object is newer than the known version; anything else is a stale read.
-        if (!self->isLeader || !result.ok() || result->version <= self->version)
+        if (!result.ok() || result->version <= self->version)
             return;
         self->storeAnswerAt = self->clock.now();
         const auto storedUpdate = decode<ZoneShares>(result->value);
+        if (storedUpdate.ok() && storedUpdate->era < result->version.era)
+            return self->replaceCopy(*storedUpdate, result->version);
         const auto isOwn = storedUpdate.ok() && storedUpdate->zoneLeader == self->incarnation
             && storedUpdate->epoch == self->shares.epoch;
         if (!isOwn) {
@@ -256,6 +289,21 @@
     });
 }
 
+/// Lets the next update replace an object from a copy of the store. While this leader's lease is valid no other host
+/// can have become leader; without it one can, in what the copy lacks.
+auto ZoneLeader::replaceCopy(const ZoneShares& copy, const StoreRevision& copyVersion) -> void
+{
+    const auto now = this->clock.now();
+    if (copy.epoch > this->shares.epoch || !this->hasValidLease(now)) {
+        this->stepDown();
+        return;
+    }
+    this->version = copyVersion;
+    this->shares.era = this->store->era();
+    this->nextCallAt = now;
+    LogEvent(LogLevel::Info, "steward-restored").with("zone", this->zone).with("epoch", this->shares.epoch);
+}
+
 /// Makes a stored update of this leader the current state; the lease counts from the time at which it was sent.
 auto ZoneLeader::applyStored(const ZoneShares& storedUpdate, const StoreRevision& storedVersion) -> void
 {
@@ -294,11 +342,17 @@
     return (slotsPerZone + live - 1) / live;
 }
 
-/// @return whether a holder's lease has expired; false until this leader has been active for a complete host lease,
-/// since an earlier leader may have granted one.
+/// @return whether this leader has been active for a complete host lease, so that every lease which an earlier leader
+/// can have granted has expired.
+auto ZoneLeader::haveEarlierLeasesExpired(TimePoint now) const -> bool
+{
+    return this->wasActive && now >= this->activeSince + this->terms.outlast(this->terms.hostLease);
+}
+
+/// @return whether a holder's lease has expired; false while it can have one of an earlier leader.
 auto ZoneLeader::hasExpired(std::uint64_t holder, TimePoint now) const -> bool
 {
-    if (!this->wasActive || now < this->activeSince + this->terms.outlast(this->terms.hostLease))
+    if (!this->haveEarlierLeasesExpired(now))
         return false;
     const auto found = this->holders.find(holder);
     return found == this->holders.end() || now >= found->second.grantedUntil;
@@ -309,6 +363,8 @@
 auto ZoneLeader::planSlots(TimePoint now) const -> SlotMap
 {
     auto plan = this->workingMap;
+    if (this->shares.isDivisionUnknown)
+        return plan;
     for (auto slot = std::uint32_t { 0 }; slot < slotsPerZone; ++slot) {
         if (plan.ownerOf(slot) != 0 && this->hasExpired(plan.ownerOf(slot), now))
             plan.setOwner(slot, 0);
--- a/tests/fakes/virtual_world.cpp
+++ b/tests/fakes/virtual_world.cpp
@@ -84,9 +84,11 @@
     {
         this->call<PutDone, absl::StatusOr<StoreRevision>>(
             std::move(done), true, [this, key, value = std::move(value), expected]() -> absl::StatusOr<StoreRevision> {
-                auto& object = this->world.objects[key];
-                if (object.version != expected)
+                const auto found = this->world.objects.find(key);
+                if ((found == this->world.objects.end() ? absentVersion : found->second.version) != expected)
                     return absl::AbortedError("version mismatch");
+                auto& object = this->world.objects[key];
+                this->world.undo.push_back({ this->world.events.now(), key, object });
                 object.oldValue = object.value;
                 object.oldVersion = object.version;
                 object.value = value;
@@ -262,6 +264,22 @@
         this->deliver(node, std::move(action));
 }
 
+auto VirtualWorld::restoreStore(Duration age) -> void
+{
+    while (!this->undo.empty() && this->undo.back().at > this->events.now() - age) {
+        auto& last = this->undo.back();
+        if (last.replaced.version == absentVersion)
+            this->objects.erase(last.key);
+        else
+            this->objects[last.key] = std::move(last.replaced);
+        this->undo.pop_back();
+        --this->lastVersion;
+    }
+    ++this->storeEra;
+    for (auto& [key, object] : this->objects)
+        object.version.era = this->storeEra;
+}
+
 auto VirtualWorld::apply(const Config& config) -> ApplyResult
 {
     auto result = std::optional<ApplyResult> {};
--- a/tests/fakes/virtual_world.hpp
+++ b/tests/fakes/virtual_world.hpp
@@ -115,6 +115,9 @@
 
     auto run(Duration duration) -> void { this->events.runFor(duration); }
 
+    /// @brief Restores the store from a copy that is `age` old; its versions are given out again from there.
+    auto restoreStore(Duration age) -> void;
+
     /// @brief Runs the world until the condition holds or the time limit expires.
     /// @return true if the condition held in time.
     auto runUntil(const std::function<bool()>& condition, Duration limit) -> bool;
@@ -138,6 +141,13 @@
         StoreRevision oldVersion;
     };
 
+    /// A write, and the object that it replaced.
+    struct UndoEntry {
+        TimePoint at;
+        std::string key;
+        Object replaced;
+    };
+
     auto deliver(Node& node, std::function<void()> action) -> void;
     auto scheduleTick(Node& node, Duration delay) -> void;
     auto isCut(const std::string& left, const std::string& right) const -> bool;
@@ -146,6 +156,7 @@
 
     WorldOption option;
     std::map<std::string, Object> objects;
+    std::vector<UndoEntry> undo;
     std::uint64_t lastVersion = 0;
     std::uint64_t storeEra = 0;
     std::uint64_t lastIncarnation = 0;
