Changes after a restore of the store have versions of their own

After a restore it gave a version out again for another change, and hosts that had the earlier one in force ignored it for good.

Change: versions of an era of the store start above all of the eras before. Hosts keep what was in force until the operator's next change, which then comes. Versions of a store that was never restored count as before.

FleetHostTest.ChangeAfterRestoreOfStoreIsAppliedOnAllHosts fails before (no host takes the change within 5 s) and passes.

--- a/include/citronloft/fleet/config_manifest.hpp
+++ b/include/citronloft/fleet/config_manifest.hpp
@@ -27,7 +27,7 @@
 
 /// @brief Describes the accepted configuration; replaced by one conditional update.
 struct ConfigManifest {
-    /// Incremented with every accepted change.
+    /// Rises with every accepted change: by one or, for the first change after a restore of the store, by more.
     std::uint64_t version = 0;
     /// Random ids of the latest changes, the newest last. With them a publisher whose reply was lost finds out whether
     /// its change was accepted, even if other changes followed.
--- a/src/citronloft/fleet/config_publisher.cpp
+++ b/src/citronloft/fleet/config_publisher.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+/// Configuration versions of an era of the store; each era starts with the next multiple, so that hosts do not take a
+/// change for an earlier one that was lost in a restore.
+constexpr auto versionsPerEra = std::uint64_t { 1'000'000 };
+
 class ApplyOperation : public std::enable_shared_from_this<ApplyOperation> {
 public:
     ApplyOperation(std::shared_ptr<ObjectStore> store, ConfigChange change, ApplyOption option, ApplyDone done)
@@ -82,7 +86,8 @@
 
     auto prepareManifest() -> void
     {
-        this->newManifest.version = this->storedManifest.version + 1;
+        const auto firstVersion = this->store->era() * versionsPerEra;
+        this->newManifest.version = std::max(this->storedManifest.version, firstVersion) + 1;
         this->newManifest.changeIds = this->storedManifest.changeIds;
         this->newManifest.changeIds.push_back(this->change.changeId);
         if (this->newManifest.changeIds.size() > maxChangeIds)
--- a/src/citronloft/fleet/fleet_host_test.cpp
+++ b/src/citronloft/fleet/fleet_host_test.cpp
@@ -35,6 +35,25 @@
     }
 }
 
+/// Guards against a change after a restore of the store that no host takes, since an earlier change had its version.
+TEST_F(FleetHostTest, ChangeAfterRestoreOfStoreIsAppliedOnAllHosts)
+{
+    this->start({}, 100, 50);
+    this->world->run(5s);
+    for (auto rate : { 110.0, 120.0, 130.0 })
+        ASSERT_EQ(this->world->apply(smallConfig(this->zones, rate, 50)).outcome, ApplyOutcome::Accepted);
+    const auto hasRate = [this](double rate) {
+        return std::ranges::all_of(this->world->nodes,
+            [&](const auto& node) { return node->host->config().active()->config.teams.front().rate == rate; });
+    };
+    ASSERT_TRUE(this->world->runUntil([&] { return hasRate(130); }, 5s));
+    this->world->restoreStore(4s);
+    this->world->run(5s);
+    EXPECT_TRUE(hasRate(130)) << "hosts keep what was in force";
+    ASSERT_EQ(this->world->apply(smallConfig(this->zones, 200, 50)).outcome, ApplyOutcome::Accepted);
+    EXPECT_TRUE(this->world->runUntil([&] { return hasRate(200); }, 5s));
+}
+
 TEST_F(FleetHostTest, SlotsOfCrashedHostAreReassigned)
 {
     this->start({}, 100, 50);
