Claims of idempotency keys survive a restore of the store

A caller that repeats a payment with its key then gets a new claim, and the payment runs twice.

Change: each host remembers its claims of the last minute, writes them again when the era rises, and grants none for three seconds, in which other hosts do so; such requests are refused as not run. A claim that the store accepts while the host learns of a restore is released and not granted. Left: claims of a host that ended within the lost seconds, or cannot reach the store after them.

--- a/src/citronloft/fleet/fleet_host.cpp
+++ b/src/citronloft/fleet/fleet_host.cpp
@@ -139,7 +139,7 @@
     , limiter(option.rates, option.lease, self.incarnation, *lenders, dependencies.transport)
     , leaderCandidate(std::make_shared<ZoneLeader>(option.lease, self.incarnation, self.zone, dependencies.clock,
           members, dependencies.transport, dependencies.store))
-    , claimRegistry(std::make_shared<ClaimRegistry>(dependencies.store))
+    , claimRegistry(std::make_shared<ClaimRegistry>(dependencies.store, dependencies.clock))
     , onConfigApplied(std::move(onConfigApplied))
     , zoneLoads(loadMaxAge)
 {
@@ -165,6 +165,7 @@
         this->holder->tick(now);
     }
     this->follower->tick(now);
+    this->claimRegistry->tick(now);
     this->updateSlots(now);
     this->limiter.tick(now);
     if (this->option.shares == ShareStrategy::Demand)
--- a/src/citronloft/fleet/store_users_test.cpp
+++ b/src/citronloft/fleet/store_users_test.cpp
@@ -28,7 +28,8 @@
     }
 
     std::shared_ptr<MemoryStore> store = std::make_shared<MemoryStore>();
-    std::shared_ptr<ClaimRegistry> registry = std::make_shared<ClaimRegistry>(store);
+    ManualClock clock;
+    std::shared_ptr<ClaimRegistry> registry = std::make_shared<ClaimRegistry>(store, clock);
     Claim last;
 };
 
@@ -78,6 +79,43 @@
     EXPECT_EQ(this->claim(), ClaimOutcome::Duplicate);
 }
 
+/// Guards against a request that runs twice, since the store was restored from a copy without its claim.
+TEST_F(ClaimTest, ClaimsAreWrittenAgainAfterRestore)
+{
+    const auto copy = this->store->objects;
+    EXPECT_EQ(this->claim(), ClaimOutcome::Granted);
+    this->store->restore(copy);
+    this->registry->tick(this->clock.now());
+    this->clock.advance(std::chrono::seconds { 5 });
+    EXPECT_EQ(this->claim(), ClaimOutcome::Duplicate);
+}
+
+TEST_F(ClaimTest, NothingIsGrantedUntilOtherHostsHaveWrittenTheirClaimsAgain)
+{
+    const auto copy = this->store->objects;
+    auto other = std::make_shared<ClaimRegistry>(this->store, this->clock);
+    other->claim("team", "k", [](auto, const auto&) {});
+    this->store->restore(copy);
+    EXPECT_EQ(this->claim(), ClaimOutcome::Unavailable);
+    EXPECT_EQ(this->claim("new"), ClaimOutcome::Unavailable);
+    this->clock.advance(std::chrono::milliseconds { 600 });
+    other->tick(this->clock.now());
+    this->clock.advance(std::chrono::seconds { 3 });
+    EXPECT_EQ(this->claim(), ClaimOutcome::Duplicate);
+    EXPECT_EQ(this->claim("new"), ClaimOutcome::Granted);
+}
+
+TEST_F(ClaimTest, ReleasedClaimsAreNotWrittenAgain)
+{
+    const auto copy = this->store->objects;
+    this->claim();
+    this->registry->release(this->last);
+    this->store->restore(copy);
+    this->registry->tick(this->clock.now());
+    this->clock.advance(std::chrono::seconds { 5 });
+    EXPECT_EQ(this->claim(), ClaimOutcome::Granted);
+}
+
 TEST_F(ClaimTest, KeyIsNotStoredInPlainText)
 {
     this->claim("secret-idempotency-key");
