Lost connections to targets in the logs, by request

Retried requests logged no path, and a path does not tell caller and body: the logs could not say which of the requests that a target held when it ended was at more than one crash. target-lost has one line for each connection that ends without an answer, with an identity that equal requests (method, host, path, query, team, body) share on all hosts.

--- a/include/citronloft/edge/call.hpp
+++ b/include/citronloft/edge/call.hpp
@@ -2,6 +2,7 @@
 /// @brief State of one request from its arrival at a host to its result.
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -66,6 +67,9 @@
 auto makeForwardedRequest(const Dialect& dialect, const Call& call, const std::string& instance, TimePoint now)
     -> HttpRequest;
 
+/// @return a number that requests with the same method, host, path, query, body and team share on all hosts; never 0.
+auto computeRequestIdentity(const Call& call) -> std::uint64_t;
+
 /// @return the number of milliseconds, capped at one hour; nothing if `text` is not a non-negative decimal integer.
 auto parseMilliseconds(std::string_view text) -> std::optional<std::chrono::milliseconds>;
 
--- a/src/citronloft/edge/call.cpp
+++ b/src/citronloft/edge/call.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstring>
+
+#include "citronloft/base/digest.hpp"
 
 namespace citronloft {
 
@@ -15,6 +18,26 @@
     return dialect.makeTargetRequest(*call.request, fields);
 }
 
+/// The digest is cryptographic, so that a caller cannot prepare a request that is taken for another one.
+auto computeRequestIdentity(const Call& call) -> std::uint64_t
+{
+    const auto& request = *call.request;
+    auto text = std::string {};
+    const auto append = [&text](std::string_view part) {
+        text += std::to_string(part.size()) + ":";
+        text += part;
+    };
+    append(request.method);
+    append(request.fields.get("Host"));
+    append(request.target);
+    append(call.team == nullptr ? std::string_view {} : std::string_view { call.team->name });
+    append(request.body);
+    const auto digest = sha256(text);
+    auto identity = std::uint64_t { 0 };
+    std::memcpy(&identity, digest.data(), sizeof(identity));
+    return std::max(identity, std::uint64_t { 1 });
+}
+
 auto parseMilliseconds(std::string_view text) -> std::optional<std::chrono::milliseconds>
 {
     constexpr auto maxMilliseconds = std::int64_t { 3'600'000 };
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -375,6 +375,8 @@
         code = ResultCode::TargetShed;
     if (code == ResultCode::TargetTimeout || code == ResultCode::TargetReplaced)
         this->client->closeIdle(*address);
+    if (code == ResultCode::ConnectionLost)
+        this->logLostConnection(call, target, exchange.reused, this->clock.now() - startedAt);
     this->responseFieldLog.record(target, exchange.response.fields);
     this->recordReportedLoad(admission, target, fields);
     this->recordRateLimit(call, target, code, exchange.response, fields, startedAt);
--- a/src/citronloft/edge/gateway_log.cpp
+++ b/src/citronloft/edge/gateway_log.cpp
@@ -1,6 +1,7 @@
 #include "citronloft/edge/gateway.hpp"
 
 #include "citronloft/base/log.hpp"
+#include "citronloft/policy/request_identity.hpp"
 #include "citronloft/policy/shares.hpp"
 
 namespace citronloft {
@@ -67,6 +68,23 @@
     return team ? &this->snapshot->active->config.teams[*team] : nullptr;
 }
 
+/// Logs that a connection ended without an answer to the request that was sent on it, as when its target crashes.
+auto Gateway::logLostConnection(const Call& call, const std::string& target, bool wasReused, Duration afterSending)
+    -> void
+{
+    auto suppressedLines = std::uint64_t { 0 };
+    if (!this->logLimiter.allow("target-lost", this->clock.now(), suppressedLines))
+        return;
+    LogEvent(LogLevel::Info, "target-lost")
+        .with("target", target)
+        .with("pool", call.pool)
+        .with("request", call.fields.requestId)
+        .with("identity", formatIdentity(computeRequestIdentity(call)))
+        .with("reused_connection", wasReused ? 1 : 0)
+        .with("after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(afterSending).count())
+        .with("left_out", suppressedLines);
+}
+
 auto Gateway::logRetry(const Call& call, ResultCode code, const std::string& target, unsigned attempt) -> void
 {
     auto suppressedLines = std::uint64_t { 0 };
