--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -7,5 +7,7 @@
 GTEST_FILTER="-$known" ctest --preset release
 if [[ -n $known ]]; then
   echo "known to be red (KNOWN-RED.txt): $known"
-  build/release/fleet_test --gtest_filter="$known" || true
+  for program in build/release/fleet_test build/release/platform/tests/platform_test; do
+    "$program" --gtest_filter="$known" || true
+  done
 fi
