Exchange of observations between hosts, independent of what is observed

Observations of lost requests need the way that observations of limits take: from a host to its zone, and by delegates to all others. LossNotice, at the end of the messages, is for the next one. No change of behavior.

--- a/include/citronloft/fleet/messages.hpp
+++ b/include/citronloft/fleet/messages.hpp
@@ -339,15 +339,30 @@
     }
 };
 
-/// @brief Observations of targets' limits, from one host to its zone or from a zone to the other zones.
-struct LimitNotice {
+/// @brief Observation of a request that was lost when its connection to a target ended, or that was answered.
+struct LossReport {
+    /// Identity of the request.
+    std::uint64_t request = 0;
+    /// Hash of the key of the target's run; 0 if a target answered the request.
+    std::uint64_t target = 0;
+    /// Time between the observation and the sending of the notice, in milliseconds.
+    std::uint32_t ageMs = 0;
+
+    template <typename Archive> auto serialize(Archive& archive) -> void
+    {
+        archive(this->request, this->target, this->ageMs);
+    }
+};
+
+/// @brief Observations of targets, from one host to its zone or from a zone to the other zones.
+template <typename Report> struct ObservationNotice {
     std::uint64_t sender = 0;
     std::uint64_t sequence = 0;
     /// Zone of the hosts that made the observations.
     std::string zone;
     /// True if a host of the receiver's zone forwarded the notice.
     bool isRelayed = false;
-    std::vector<LimitReport> reports;
+    std::vector<Report> reports;
 
     template <typename Archive> auto serialize(Archive& archive) -> void
     {
@@ -355,10 +370,13 @@
     }
 };
 
+using LimitNotice = ObservationNotice<LimitReport>;
+using LossNotice = ObservationNotice<LossReport>;
+
 /// @brief Any message between hosts. New types are added at the end, so that hosts of an older version discard only
 /// these.
 using PeerMessage = std::variant<GossipMessage, RenewRequest, RenewGrant, LoanRequest, LoanGrant, ConfigNotice,
-    LoadNotice, DemandNotice, ZoneDemandNotice, ZoneLoadNotice, FeedNotice, LimitNotice>;
+    LoadNotice, DemandNotice, ZoneDemandNotice, ZoneLoadNotice, FeedNotice, LimitNotice, LossNotice>;
 
 /// @brief Sends messages to other hosts. Messages can be lost, duplicated, reordered or delayed.
 class PeerTransport {
