Calls to the store that fail together lengthen the pause once

All calls that were under way when the store becomes unavailable fail in the same moment. Each of them doubled the pause before the next call: 100 ms with one kind that is mirrored, 400 ms with three, 800 ms with four. The pause now grows only with the failure of a call that was made to probe the store. Test: CallsThatFailTogetherCountAsOneFailure.

--- a/src/citronloft/fleet/object_mirror_test.cpp
+++ b/src/citronloft/fleet/object_mirror_test.cpp
@@ -287,6 +287,16 @@
     EXPECT_EQ(this->mirror->changesAfter({})->objects.size(), 1U);
 }
 
+/// Guards against a pause that grows with the number of kinds that are mirrored.
+TEST_F(ObjectMirrorTest, CallsThatFailTogetherCountAsOneFailure)
+{
+    const auto start = this->clock.now();
+    EXPECT_TRUE(this->storeBackoff->recordFailure(absl::UnavailableError("down"), start));
+    for (auto call = 0; call < 5; ++call)
+        EXPECT_FALSE(this->storeBackoff->recordFailure(absl::UnavailableError("down"), start));
+    EXPECT_TRUE(this->storeBackoff->tryStart(start + StoreBackoffOption {}.minBackoff));
+}
+
 TEST_F(ObjectMirrorTest, RetriesFailuresWithBackoff)
 {
     auto calls = 0;
--- a/src/citronloft/fleet/store_backoff.cpp
+++ b/src/citronloft/fleet/store_backoff.cpp
@@ -33,13 +33,17 @@
 
 auto StoreBackoff::recordFailure(const absl::Status& status, TimePoint now) -> bool
 {
+    const auto wasAvailable = !std::exchange(this->isStoreUnavailable, true);
+    // Calls that were under way when the store became unavailable all fail; only the first one tells something new.
+    if (!wasAvailable && !this->isProbing)
+        return false;
     this->isProbing = false;
     const auto isTimeout = absl::IsDeadlineExceeded(status);
     const auto maxBackoff = isTimeout ? this->option.maxTimeoutBackoff : this->option.maxRefusedBackoff;
     this->backoff = std::clamp<Duration>(this->backoff * 2, this->option.minBackoff, maxBackoff);
     constexpr auto jitterSteps = 1000U;
     this->nextProbeAt = now + this->backoff / 2 + this->backoff / 2 * this->random(jitterSteps) / jitterSteps;
-    return !std::exchange(this->isStoreUnavailable, true);
+    return wasAvailable;
 }
 
 } // namespace citronloft
