Requests that crash targets go into quarantine, by what all hosts have observed

Cause: a lost connection counted for the target and for the retry budget, never for the request. Each host sent it on whenever it came, and retried it; no host knew what another had seen. Class: a request whose harm is charged to those who serve it.

Ruled out: retries as the main cause (7 of 35 tries), targets that fail under load (no other request is at more than two crashes).

Change: RequestQuarantine decides from losses and answers: three losses, 0.1 s apart, without an answer since. Hosts exchange both; a finding is also an object in the store, which each host watches, for those that start later or cannot reach the others. A host does not retry a request that one more loss would convict. The caller gets 400 request-quarantined: not run, and final, since a status that promises a later try would bring the same request back. An operator lifts it by deleting the object.

--- a/include/citronloft/base/result_code.hpp
+++ b/include/citronloft/base/result_code.hpp
@@ -48,6 +48,7 @@
     MethodUnsupported = 2021,
     PeerUnauthenticated = 2022,
     TargetReplaced = 2023,
+    RequestQuarantined = 2024,
 
     AnswerCut = 3001,
     TargetTimeout = 3002,
--- a/include/citronloft/edge/call.hpp
+++ b/include/citronloft/edge/call.hpp
@@ -48,6 +48,8 @@
     CallerContext* caller = nullptr;
     TimePoint deadline;
     bool isSpilled = false;
+    /// computeRequestIdentity(), once it is needed; 0 before.
+    std::uint64_t identity = 0;
 };
 
 /// @brief Result of a call; `response` is used only if `code` is Answered or LookupAnswered.
--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -138,6 +138,8 @@
     auto setDeadline(Call& call) const -> void;
     auto admitRate(const Call& call, boost::asio::yield_context yield) -> RateDecision;
     [[nodiscard]] auto isStillAuthorized(const Call& call) const -> bool;
+    [[nodiscard]] auto isQuarantined(Call& call) const -> bool;
+    auto recordOutcome(Call& call, ResultCode code, const std::string& target) -> void;
     auto claimIdempotencyKey(const Call& call, boost::asio::yield_context yield) -> std::optional<ClaimResult>;
     auto claimAndRun(Call& call, boost::asio::yield_context yield) -> CallResult;
     auto runAttempts(Call& call, boost::asio::yield_context yield) -> CallResult;
--- a/include/citronloft/fleet/discovery.hpp
+++ b/include/citronloft/fleet/discovery.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// @brief Reads the configuration, targets and evacuated zones that a platform publishes.
+/// @brief Reads the configuration, targets and evacuated zones that a platform publishes, and the fleet's quarantines.
 #pragma once
 
 #include <array>
@@ -52,11 +52,13 @@
     [[nodiscard]] virtual auto decodeTarget(const MirroredObject& object) const -> absl::StatusOr<TargetEntry> = 0;
 };
 
-/// @brief Callbacks of Discovery; each call passes the complete current state, not a change.
+/// @brief Callbacks of Discovery; each call passes the complete current state, not a change. All must be set.
 struct DiscoveryListener {
     std::function<void(ActiveConfig)> onConfig;
     std::function<void(DiscoveredTargets)> onTargets;
     std::function<void(std::set<std::string>)> onEvacuatedZones;
+    /// Names of the objects of `quarantineKind`.
+    std::function<void(std::set<std::string>)> onQuarantines;
 };
 
 /// @brief Mirrors a platform's objects and reports their decoded contents to a listener.
@@ -82,7 +84,7 @@
     /// @brief Answers a peer that reads this host's copies instead of the store.
     [[nodiscard]] auto serve(const FeedRequest& request) const -> absl::StatusOr<ObjectBatch>;
 
-    /// @return whether the configuration, targets and evacuated zones have been read.
+    /// @return whether the configuration, targets, evacuated zones and quarantines have been read.
     [[nodiscard]] auto isReady() const -> bool;
 
 private:
@@ -100,7 +102,7 @@
         TimePoint forgetAt;
     };
 
-    [[nodiscard]] auto mirrors() const -> std::array<const ObjectMirror*, 3>;
+    [[nodiscard]] auto mirrors() const -> std::array<const ObjectMirror*, 4>;
     auto updateConfig(const ObjectMirror::Objects& objects) -> void;
     auto updateTargets(const ObjectMirror::Objects& objects) -> void;
     auto updateEvacuatedZones(const ObjectMirror::Objects& objects) -> void;
@@ -115,6 +117,7 @@
     std::shared_ptr<ObjectMirror> configs;
     std::shared_ptr<ObjectMirror> targets;
     std::shared_ptr<ObjectMirror> evacuations;
+    std::shared_ptr<ObjectMirror> quarantines;
     std::map<std::string, CachedEntry> entries;
     std::map<std::string, DepartedTarget> departed;
     /// End of the earliest time for which an entry is ignored.
--- a/include/citronloft/fleet/fleet_host.hpp
+++ b/include/citronloft/fleet/fleet_host.hpp
@@ -12,6 +12,7 @@
 #include "citronloft/fleet/host_registry.hpp"
 #include "citronloft/fleet/limit_exchange.hpp"
 #include "citronloft/fleet/membership.hpp"
+#include "citronloft/fleet/quarantine_service.hpp"
 #include "citronloft/fleet/rate_limiter.hpp"
 #include "citronloft/fleet/slot_lease_holder.hpp"
 #include "citronloft/fleet/zone_leader.hpp"
@@ -101,6 +102,8 @@
     [[nodiscard]] auto membership() const -> const Membership& { return this->members; }
     auto rates() -> RateLimiter& { return this->limiter; }
     auto limits() -> LimitExchange& { return this->limitExchange; }
+    auto quarantine() -> QuarantineService& { return this->quarantineService; }
+    [[nodiscard]] auto quarantine() const -> const QuarantineService& { return this->quarantineService; }
     auto claims() -> ClaimRegistry& { return *this->claimRegistry; }
     auto config() -> ConfigFollower& { return *this->follower; }
     [[nodiscard]] auto shares() const -> const SlotLeaseHolder& { return *this->holder; }
@@ -180,6 +183,7 @@
     bool isRegistryRead = false;
     Membership members;
     LimitExchange limitExchange;
+    QuarantineService quarantineService;
     std::unique_ptr<LenderDirectory> lenders;
     std::shared_ptr<SlotLeaseHolder> holder;
     RateLimiter limiter;
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -161,6 +161,8 @@
             LogEvent(LogLevel::Info, "zone-evacuated").with("zone", zone);
         this->gateway->setEvacuatedZones(std::move(zones));
     };
+    listener.onQuarantines
+        = [this](const std::set<std::string>& names) { this->fleet->quarantine().updateStored(names); };
     this->registry
         = std::make_shared<HostRegistry>(RegisteredHost { this->settings.zone, this->settings.ip }, this->clock,
             this->platform.store, randomId(), [this](const auto& hosts) { this->fleet->updateRegisteredHosts(hosts); });
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -156,6 +156,8 @@
     this->choosePool(call);
     if (const auto code = this->authorize(call); code != ResultCode::Answered)
         return { code, {}, {} };
+    if (this->isQuarantined(call))
+        return { ResultCode::RequestQuarantined, {}, {} };
     this->setDeadline(call);
     const auto rate = this->admitRate(call, yield);
     if (!rate.admitted)
@@ -197,6 +199,33 @@
     return team && this->snapshot->active->config.teams[*team].name == call.team->name;
 }
 
+auto Gateway::isQuarantined(Call& call) const -> bool
+{
+    const auto& quarantine = this->fleet.quarantine();
+    if (quarantine.isEmpty())
+        return false;
+    if (call.identity == 0)
+        call.identity = computeRequestIdentity(call);
+    return quarantine.isQuarantined(call.identity);
+}
+
+/// Records whether the request was lost with its target or answered; other results say nothing of what it does to
+/// targets.
+auto Gateway::recordOutcome(Call& call, ResultCode code, const std::string& target) -> void
+{
+    auto& quarantine = this->fleet.quarantine();
+    const auto isLost = code == ResultCode::ConnectionLost;
+    const auto isAnswered = code == ResultCode::Answered && !quarantine.isEmpty();
+    if (!isLost && !isAnswered)
+        return;
+    if (call.identity == 0)
+        call.identity = computeRequestIdentity(call);
+    if (isLost)
+        quarantine.recordLoss(call.identity, target);
+    else
+        quarantine.recordAnswer(call.identity);
+}
+
 auto Gateway::admitRate(const Call& call, boost::asio::yield_context yield) -> RateDecision
 {
     if (call.team == nullptr || call.team->rate <= 0)
@@ -271,6 +300,10 @@
             admission.release(slot.target, TargetResult::Abandoned, {});
             return { uncertainResult.value_or(ResultCode::KeyUnknown), {}, {} };
         }
+        if (this->isQuarantined(call)) {
+            admission.release(slot.target, TargetResult::Abandoned, {});
+            return { uncertainResult.value_or(ResultCode::RequestQuarantined), {}, {} };
+        }
         auto result = this->runAttempt(call, admission, slot.target, attempt == 1, yield);
         result.target = slot.target;
         result.pool = call.pool;
@@ -286,7 +319,9 @@
         // If an attempt may have run, a later one that did not run does not change the result.
         if (outcome != Outcome::NotRun)
             uncertainResult = result.code;
-        if (!budget.tryRetry(attempted, this->clock.now())) {
+        const auto isAllowed
+            = result.code != ResultCode::ConnectionLost || this->fleet.quarantine().allowsRetry(call.identity);
+        if (!isAllowed || !budget.tryRetry(attempted, this->clock.now())) {
             result.code = uncertainResult.value_or(result.code);
             return result;
         }
@@ -375,6 +410,7 @@
         code = ResultCode::TargetShed;
     if (code == ResultCode::TargetTimeout || code == ResultCode::TargetReplaced)
         this->client->closeIdle(*address);
+    this->recordOutcome(call, code, target);
     if (code == ResultCode::ConnectionLost)
         this->logLostConnection(call, target, exchange.reused, this->clock.now() - startedAt);
     this->responseFieldLog.record(target, exchange.response.fields);
--- a/src/citronloft/edge/gateway_log.cpp
+++ b/src/citronloft/edge/gateway_log.cpp
@@ -79,7 +79,9 @@
         .with("target", target)
         .with("pool", call.pool)
         .with("request", call.fields.requestId)
-        .with("identity", formatIdentity(computeRequestIdentity(call)))
+        .with("identity", formatIdentity(call.identity))
+        .with("team", call.team == nullptr ? std::string_view {} : std::string_view { call.team->name })
+        .with("path", std::string_view { call.request->target }.substr(0, call.request->target.find('?')))
         .with("reused_connection", wasReused ? 1 : 0)
         .with("after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(afterSending).count())
         .with("left_out", suppressedLines);
--- a/src/citronloft/fleet/discovery.cpp
+++ b/src/citronloft/fleet/discovery.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "citronloft/base/log.hpp"
+#include "citronloft/fleet/quarantine_registry.hpp"
 
 namespace citronloft {
 
@@ -14,12 +15,22 @@
 constexpr auto minBurstPause = std::chrono::milliseconds { 600 };
 /// Half of the shortest time in which a leaving target must be out of use (2.5 s).
 constexpr auto maxBurstPause = std::chrono::milliseconds { 1200 };
+/// Pause before the first call after the store became unavailable.
+constexpr auto minStoreBackoff = std::chrono::milliseconds { 400 };
 /// Maximum age of a copy from which the store is restored.
 constexpr auto maxCopyAge = std::chrono::seconds { 60 };
 /// Time for which a target that was gone before a restore is ignored. By then the platform has removed its object
 /// again, which it does after three silent heartbeat intervals (1.5 s), or has heard of it.
 constexpr auto departedIgnoreTime = std::chrono::seconds { 6 };
 
+auto namesOf(const ObjectMirror::Objects& objects) -> std::set<std::string>
+{
+    auto names = std::set<std::string> {};
+    for (const auto& [name, object] : objects)
+        names.insert(name);
+    return names;
+}
+
 /// @return whether what a copy of the store says of a target is no later than what is known. A run of a target whose
 /// statements have no sequence leaves that open.
 auto isOutdated(const TargetEntry& copied, const TargetEntry& known) -> bool
@@ -38,7 +49,8 @@
     , decoder(std::move(decoder))
     , listener(std::move(listener))
 {
-    const auto storeBackoff = std::make_shared<StoreBackoff>(StoreBackoffOption {}, seed);
+    const auto storeBackoff
+        = std::make_shared<StoreBackoff>(StoreBackoffOption { .minBackoff = minStoreBackoff }, seed);
     const auto mirror = [&](std::string kind, ObjectMirror::ChangedCallback changed) {
         auto option = ObjectMirrorOption {};
         option.kind = std::move(kind);
@@ -48,6 +60,8 @@
     this->targets = mirror(this->decoder->targetKind(), [this](const auto& objects) { this->updateTargets(objects); });
     this->evacuations
         = mirror(this->decoder->evacuationKind(), [this](const auto& objects) { this->updateEvacuatedZones(objects); });
+    this->quarantines
+        = mirror(quarantineKind, [this](const auto& objects) { this->listener.onQuarantines(namesOf(objects)); });
 }
 
 auto Discovery::tick(TimePoint now) -> void
@@ -55,6 +69,7 @@
     this->configs->tick(now);
     this->targets->tick(now);
     this->evacuations->tick(now);
+    this->quarantines->tick(now);
     if (now >= this->nextTargetUpdateAt)
         this->updateTargets(this->targets->objects());
 }
@@ -65,9 +80,9 @@
     this->targets->setMaxPause(std::clamp<Duration>(pause, minBurstPause, maxBurstPause));
 }
 
-auto Discovery::mirrors() const -> std::array<const ObjectMirror*, 3>
+auto Discovery::mirrors() const -> std::array<const ObjectMirror*, 4>
 {
-    return { this->configs.get(), this->targets.get(), this->evacuations.get() };
+    return { this->configs.get(), this->targets.get(), this->evacuations.get(), this->quarantines.get() };
 }
 
 auto Discovery::feedStates() const -> std::vector<FeedState>
@@ -91,7 +106,8 @@
 
 auto Discovery::isReady() const -> bool
 {
-    return this->configs->isReady() && this->targets->isReady() && this->evacuations->isReady();
+    return this->configs->isReady() && this->targets->isReady() && this->evacuations->isReady()
+        && this->quarantines->isReady();
 }
 
 auto Discovery::updateConfig(const ObjectMirror::Objects& objects) -> void
@@ -200,10 +216,7 @@
 
 auto Discovery::updateEvacuatedZones(const ObjectMirror::Objects& objects) -> void
 {
-    auto zones = std::set<std::string> {};
-    for (const auto& [name, object] : objects)
-        zones.insert(name);
-    this->listener.onEvacuatedZones(std::move(zones));
+    this->listener.onEvacuatedZones(namesOf(objects));
 }
 
 } // namespace citronloft
--- a/src/citronloft/fleet/discovery_test.cpp
+++ b/src/citronloft/fleet/discovery_test.cpp
@@ -68,6 +68,7 @@
             }
         };
         listener.onEvacuatedZones = [](const std::set<std::string>&) {};
+        listener.onQuarantines = [](const std::set<std::string>&) {};
         this->discovery = std::make_unique<Discovery>(
             this->clock, this->metrics, this->feed, std::make_shared<TextDecoder>(), 1, std::move(listener));
         this->store.put("config", "config", "1");
--- a/src/citronloft/fleet/fleet_host.cpp
+++ b/src/citronloft/fleet/fleet_host.cpp
@@ -30,6 +30,8 @@
 constexpr auto startToleranceFraction = 0.15;
 /// Time in which a starting host learns of its zone by gossip if the registry has not been read before.
 constexpr auto registryWait = std::chrono::seconds { 3 };
+/// Interval at which requests in quarantine are read from a store without a feed.
+constexpr auto quarantinePollInterval = std::chrono::seconds { 10 };
 /// Time for which unreachable hosts are counted where the fleet divides a limit evenly; regions can lose contact for
 /// minutes.
 constexpr auto hostCountMemory = std::chrono::minutes { 10 };
@@ -133,6 +135,8 @@
     , recentMaxHosts(hostCountMemory)
     , members(option.membership, self, dependencies.transport, seed)
     , limitExchange(members, dependencies.transport)
+    , quarantineService(members, dependencies.transport, dependencies.clock, dependencies.store,
+          option.usesPlatformConfig ? std::nullopt : std::optional<Duration> { quarantinePollInterval })
     , lenders(std::make_unique<LenderDirectory>(members))
     , holder(std::make_shared<SlotLeaseHolder>(
           option.lease, self.incarnation, dependencies.clock, members, dependencies.transport, dependencies.store))
@@ -172,6 +176,7 @@
         this->announceDemands(now);
     this->relayLoads(now);
     this->limitExchange.tick(this->noticeSequence, now);
+    this->quarantineService.tick(this->noticeSequence, now);
 }
 
 auto FleetHost::updateSlots(TimePoint now) -> void
@@ -313,6 +318,9 @@
     } else if (const auto* limits = std::get_if<LimitNotice>(&message)) {
         if (this->recordSequence(limits->sender, limits->sequence))
             this->limitExchange.receive(*limits, now);
+    } else if (const auto* losses = std::get_if<LossNotice>(&message)) {
+        if (this->recordSequence(losses->sender, losses->sequence))
+            this->quarantineService.receive(*losses, now);
     } else if (const auto* demand = std::get_if<DemandNotice>(&message)) {
         this->processDemandNotice(from, *demand, now);
     } else if (const auto* zoneDemand = std::get_if<ZoneDemandNotice>(&message)) {
--- /dev/null
+++ b/src/citronloft/fleet/quarantine_registry.cpp
@@ -0,0 +1,144 @@
+#include "citronloft/fleet/quarantine_registry.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+#include "citronloft/base/log.hpp"
+#include "citronloft/policy/request_identity.hpp"
+
+namespace citronloft {
+
+namespace {
+
+constexpr auto separator = '_';
+/// Pause between two writes, so that many findings at once leave the store's rate to others.
+constexpr auto writePause = std::chrono::milliseconds { 200 };
+/// Maximum number of objects that wait to be written.
+constexpr auto maxUnwritten = std::size_t { 256 };
+
+template <typename Number> auto parseNumber(std::string_view text, int base) -> std::optional<Number>
+{
+    auto number = Number { 0 };
+    const auto end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, number, base);
+    return error == std::errc {} && stop == end ? std::optional { number } : std::nullopt;
+}
+
+} // namespace
+
+QuarantineRegistry::QuarantineRegistry(const Clock& clock, WallClock wallClock, std::shared_ptr<ObjectStore> store,
+    std::optional<Duration> pollInterval, QuarantineListener listener)
+    : clock(clock)
+    , wallClock(std::move(wallClock))
+    , store(std::move(store))
+    , pollInterval(pollInterval)
+    , listener(std::move(listener))
+{
+}
+
+auto QuarantineRegistry::publish(std::uint64_t request, TimePoint until) -> void
+{
+    const auto isListed = std::ranges::any_of(this->entries,
+        [&](const auto& item) { return item.second.request == request && item.second.until > this->clock.now(); });
+    if (isListed || this->unwritten.size() >= maxUnwritten)
+        return;
+    this->unwritten.push_back(this->nameOf(request, until));
+}
+
+auto QuarantineRegistry::update(const std::set<std::string>& names) -> void
+{
+    const auto era = this->store->era();
+    for (auto item = this->entries.begin(); item != this->entries.end();) {
+        const auto& [name, entry] = *item;
+        if (names.contains(name) || this->clock.now() >= entry.until) {
+            item = names.contains(name) ? std::next(item) : this->entries.erase(item);
+            continue;
+        }
+        // A copy from which the store was restored can lack the object; otherwise an operator has deleted it.
+        if (entry.era < era)
+            this->unwritten.push_back(name);
+        else
+            this->listener.onLifted(entry.request);
+        item = this->entries.erase(item);
+    }
+    for (const auto& name : names) {
+        const auto known = this->entries.find(name);
+        if (known != this->entries.end()) {
+            known->second.era = era;
+            continue;
+        }
+        const auto entry = this->parse(name);
+        if (!entry) {
+            LogEvent(LogLevel::Warning, "quarantine-malformed").with("name", name);
+            continue;
+        }
+        if (this->clock.now() >= entry->until)
+            continue;
+        this->entries.emplace(name, *entry);
+        this->listener.onQuarantined(entry->request, entry->until);
+    }
+}
+
+auto QuarantineRegistry::tick(TimePoint now) -> void
+{
+    if (!this->isWriting && !this->unwritten.empty() && now >= this->nextWriteAt)
+        this->writeNext(now);
+    if (this->pollInterval && !this->isPolling && now >= this->nextPollAt)
+        this->poll(now);
+}
+
+auto QuarantineRegistry::poll(TimePoint now) -> void
+{
+    this->isPolling = true;
+    this->nextPollAt = now + *this->pollInterval;
+    const auto prefix = std::string { quarantineKind } + "/";
+    this->store->list(prefix, [self = this->shared_from_this(), prefix](const auto& keys) {
+        self->isPolling = false;
+        if (!keys.ok())
+            return;
+        auto names = std::set<std::string> {};
+        for (const auto& key : *keys)
+            names.insert(key.substr(prefix.size()));
+        self->update(names);
+    });
+}
+
+auto QuarantineRegistry::writeNext(TimePoint now) -> void
+{
+    this->isWriting = true;
+    this->nextWriteAt = now + writePause;
+    const auto name = this->unwritten.front();
+    this->store->put(std::string { quarantineKind } + "/" + name, {}, absentVersion,
+        [self = this->shared_from_this(), name](const auto& result) {
+            self->isWriting = false;
+            const auto isStored = result.ok() || absl::IsAborted(result.status());
+            if (isStored && !self->unwritten.empty() && self->unwritten.front() == name)
+                self->unwritten.pop_front();
+        });
+}
+
+auto QuarantineRegistry::nameOf(std::uint64_t request, TimePoint until) const -> std::string
+{
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - this->clock.now());
+    const auto end = std::chrono::ceil<std::chrono::minutes>(this->wallClock() + left);
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(end.time_since_epoch()).count();
+    return formatIdentity(request) + separator + std::to_string(seconds);
+}
+
+auto QuarantineRegistry::parse(const std::string& name) const -> std::optional<Entry>
+{
+    constexpr auto hexadecimal = 16;
+    constexpr auto decimal = 10;
+    const auto separatorAt = std::min(name.find(separator), name.size());
+    const auto request = parseNumber<std::uint64_t>(std::string_view { name }.substr(0, separatorAt), hexadecimal);
+    const auto end = separatorAt == name.size()
+        ? std::nullopt
+        : parseNumber<std::int64_t>(std::string_view { name }.substr(separatorAt + 1), decimal);
+    if (!request || !end)
+        return std::nullopt;
+    const auto left = std::chrono::system_clock::time_point { std::chrono::seconds { *end } } - this->wallClock();
+    return Entry { *request, this->clock.now() + std::chrono::duration_cast<Duration>(left), this->store->era() };
+}
+
+} // namespace citronloft
--- a/src/citronloft/fleet/withdrawal_bound_test.cpp
+++ b/src/citronloft/fleet/withdrawal_bound_test.cpp
@@ -154,6 +154,7 @@
             }
         };
         listener.onEvacuatedZones = [own](std::set<std::string> zones) { own->evacuated = std::move(zones); };
+        listener.onQuarantines = [](const std::set<std::string>&) {};
         host->zoneFeed = std::make_shared<ZoneFeed>(ZoneFeedOption {}, this->clock, host->feed,
             std::make_shared<VirtualPeers>(this->events, this->simulatedHosts, this->simulatedHosts.size()));
         host->discovery = std::make_unique<Discovery>(this->clock, this->metrics, host->zoneFeed,
--- a/tests/fakes/virtual_world.cpp
+++ b/tests/fakes/virtual_world.cpp
@@ -264,6 +264,17 @@
         this->deliver(node, std::move(action));
 }
 
+auto VirtualWorld::storedNames(const std::string& prefix) const -> std::set<std::string>
+{
+    auto names = std::set<std::string> {};
+    for (auto item = this->objects.lower_bound(prefix); item != this->objects.end(); ++item) {
+        if (!item->first.starts_with(prefix))
+            break;
+        names.insert(item->first.substr(prefix.size()));
+    }
+    return names;
+}
+
 auto VirtualWorld::restoreStore(Duration age) -> void
 {
     while (!this->undo.empty() && this->undo.back().at > this->events.now() - age) {
--- a/tests/fakes/virtual_world.hpp
+++ b/tests/fakes/virtual_world.hpp
@@ -115,6 +115,9 @@
 
     auto run(Duration duration) -> void { this->events.runFor(duration); }
 
+    /// @return the rest of each key of the store that begins with `prefix`.
+    [[nodiscard]] auto storedNames(const std::string& prefix) const -> std::set<std::string>;
+
     /// @brief Restores the store from a copy that is `age` old; its versions are given out again from there.
     auto restoreStore(Duration age) -> void;
 
