A request that was given up is not delivered after a partition

Cause: closing a connection in the usual way leaves what was sent and not delivered to the system, which delivers it when the network is whole again: a request to a zone that is evacuated by then, or one that a host has repeated elsewhere.

Ruled out: the restored store (the host knew of the evacuation); a host that sends to the zone after it (the connection was closed before).

Change: an exchange that is given up closes its connection by a reset, which discards undelivered bytes. Idle connections are closed as before.

If the reset itself is lost, a target that has the whole request works on until its deadline.

--- a/src/citronloft/edge/http_client.cpp
+++ b/src/citronloft/edge/http_client.cpp
@@ -165,6 +165,9 @@
             return nullptr;
         }
         connection->stream.socket().set_option(Tcp::no_delay(true), error);
+        // Closing the stream resets the connection and discards what was not delivered, so that a request that was
+        // given up cannot arrive later. Idle connections are destroyed instead, which closes them in the usual way.
+        connection->stream.socket().set_option(asio::socket_base::linger(true, 0), error);
         this->enableDeadPeerDetection(*connection);
         connection->openedAt = this->clock.now();
         return connection;
--- a/src/citronloft/edge/http_test.cpp
+++ b/src/citronloft/edge/http_test.cpp
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <boost/asio/read.hpp>
+
 #include "citronloft/edge/http_client.hpp"
 #include "citronloft/edge/http_server.hpp"
 #include "fakes/raw_peer.hpp"
@@ -152,6 +154,30 @@
     });
 }
 
+TEST_F(HttpTest, RequestThatWasGivenUpIsNotDeliveredLater)
+{
+    // The server's receive window holds only a part of the request, as if the rest were held up by the network.
+    constexpr auto receiveBufferBytes = 4096;
+    constexpr auto bodyBytes = std::size_t { 64 } * 1024;
+    using Tcp = boost::asio::ip::tcp;
+    auto acceptor = Tcp::acceptor(this->context);
+    acceptor.open(Tcp::v4());
+    acceptor.set_option(Tcp::acceptor::receive_buffer_size(receiveBufferBytes));
+    acceptor.bind({ boost::asio::ip::make_address("127.0.0.1"), 0 });
+    acceptor.listen();
+    this->run([&](boost::asio::yield_context yield) {
+        const auto exchange = this->client->exchange({ "127.0.0.1", acceptor.local_endpoint().port() },
+            { "POST", "/x", {}, std::string(bodyBytes, 'x') }, { .deadline = this->clock.now() + 200ms }, yield);
+        EXPECT_EQ(exchange.error, ExchangeError::AnswerTimeout);
+        auto peer = acceptor.accept();
+        auto received = std::string {};
+        auto error = boost::system::error_code {};
+        boost::asio::async_read(peer, boost::asio::dynamic_buffer(received), yield[error]);
+        EXPECT_EQ(error, boost::asio::error::connection_reset);
+        EXPECT_LT(received.size(), bodyBytes);
+    });
+}
+
 TEST_F(HttpTest, ConnectionWithBytesAfterResponseIsNotReused)
 {
     auto target = RawServer(this->context,
