Quarantine objects that a restore lost are written again by their writer first

What callers saw: nothing; found by reading. Each host that had seen such an object wrote it again as soon as the restored store lacked it: at 7,600 hosts as many writes within a second for one object, of which all but one are refused, beside the writes that others need.

Change: the host that wrote the object writes it again at once. The others wait 3 to 13 s, spread at random, and write only what is still missing.

QuarantineRegistryTest.OtherHostsLeaveTheRewriteAfterRestoreToTheWriter fails before (a write within 1 s) and passes; AnotherHostRewritesAfterRestoreIfTheWriterIsGone holds what remains true for objects whose writer has ended.

--- a/include/citronloft/fleet/quarantine_registry.hpp
+++ b/include/citronloft/fleet/quarantine_registry.hpp
@@ -4,7 +4,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -12,6 +11,8 @@
 #include <set>
 #include <string>
 
+#include <pcg_random.hpp>
+
 #include "citronloft/base/clock.hpp"
 #include "citronloft/fleet/object_store.hpp"
 
@@ -32,14 +33,15 @@
 ///
 /// The name of an object states the request's identity and the end of its quarantine, to the minute, so that a list is
 /// enough to read all of them and hosts that find the same request at once write the same object. Hosts do not delete
-/// objects; an operator deletes one to end a quarantine early.
+/// objects; an operator deletes one to end a quarantine early. If the store was restored from a copy that lacks an
+/// object, its writer writes it again, or another host some seconds later.
 class QuarantineRegistry : public std::enable_shared_from_this<QuarantineRegistry> {
 public:
     using WallClock = std::function<std::chrono::system_clock::time_point()>;
 
     /// @param pollInterval interval at which the objects are listed; nothing if update() is called with them.
     QuarantineRegistry(const Clock& clock, WallClock wallClock, std::shared_ptr<ObjectStore> store,
-        std::optional<Duration> pollInterval, QuarantineListener listener);
+        std::optional<Duration> pollInterval, std::uint64_t seed, QuarantineListener listener);
 
     /// @brief Writes an object for a request that this host has found to crash targets.
     auto publish(std::uint64_t request, TimePoint until) -> void;
@@ -58,6 +60,9 @@
         std::uint64_t era = 0;
     };
 
+    auto processMissing(TimePoint now, const std::set<std::string>& names) -> void;
+    auto processPresent(TimePoint now, const std::set<std::string>& names) -> void;
+    [[nodiscard]] auto rewriteTime(const std::string& name, TimePoint now) -> TimePoint;
     auto writeNext(TimePoint now) -> void;
     auto poll(TimePoint now) -> void;
     [[nodiscard]] auto nameOf(std::uint64_t request, TimePoint until) const -> std::string;
@@ -67,11 +72,14 @@
     WallClock wallClock;
     std::shared_ptr<ObjectStore> store;
     std::optional<Duration> pollInterval;
+    pcg32 random;
     QuarantineListener listener;
     /// Known objects, by name.
     std::map<std::string, Entry> entries;
-    /// Names of the objects that are to be written.
-    std::deque<std::string> unwritten;
+    /// Names of the objects that are to be written, and from when on.
+    std::map<std::string, TimePoint> unwritten;
+    /// Names of the objects that this host has written, with the end of their quarantine.
+    std::map<std::string, TimePoint> written;
     bool isWriting = false;
     bool isPolling = false;
     TimePoint nextWriteAt {};
--- a/include/citronloft/fleet/quarantine_service.hpp
+++ b/include/citronloft/fleet/quarantine_service.hpp
@@ -22,7 +22,7 @@
 public:
     /// @param pollInterval see QuarantineRegistry.
     QuarantineService(const Membership& members, PeerTransport& transport, const Clock& clock,
-        const std::shared_ptr<ObjectStore>& store, std::optional<Duration> pollInterval);
+        const std::shared_ptr<ObjectStore>& store, std::optional<Duration> pollInterval, std::uint64_t seed);
 
     /// @return whether no request is suspected or in quarantine, so that requests need no identity.
     [[nodiscard]] auto isEmpty() const -> bool { return this->quarantine.isEmpty(); }
--- a/src/citronloft/fleet/fleet_host.cpp
+++ b/src/citronloft/fleet/fleet_host.cpp
@@ -136,7 +136,7 @@
     , members(option.membership, self, dependencies.transport, seed)
     , limitExchange(members, dependencies.transport)
     , quarantineService(members, dependencies.transport, dependencies.clock, dependencies.store,
-          option.usesPlatformConfig ? std::nullopt : std::optional<Duration> { quarantinePollInterval })
+          option.usesPlatformConfig ? std::nullopt : std::optional<Duration> { quarantinePollInterval }, seed)
     , lenders(std::make_unique<LenderDirectory>(members))
     , holder(std::make_shared<SlotLeaseHolder>(
           option.lease, self.incarnation, dependencies.clock, members, dependencies.transport, dependencies.store))
--- a/src/citronloft/fleet/quarantine_registry.cpp
+++ b/src/citronloft/fleet/quarantine_registry.cpp
@@ -16,6 +16,10 @@
 constexpr auto writePause = std::chrono::milliseconds { 200 };
 /// Maximum number of objects that wait to be written.
 constexpr auto maxUnwritten = std::size_t { 256 };
+/// Time after a restore in which the writer of an object writes it again.
+constexpr auto writerTime = std::chrono::seconds { 3 };
+/// Period over which the other hosts spread their writes of an object whose writer has not written it again.
+constexpr auto rewriteSpread = std::chrono::seconds { 10 };
 
 template <typename Number> auto parseNumber(std::string_view text, int base) -> std::optional<Number>
 {
@@ -28,11 +32,12 @@
 } // namespace
 
 QuarantineRegistry::QuarantineRegistry(const Clock& clock, WallClock wallClock, std::shared_ptr<ObjectStore> store,
-    std::optional<Duration> pollInterval, QuarantineListener listener)
+    std::optional<Duration> pollInterval, std::uint64_t seed, QuarantineListener listener)
     : clock(clock)
     , wallClock(std::move(wallClock))
     , store(std::move(store))
     , pollInterval(pollInterval)
+    , random(seed)
     , listener(std::move(listener))
 {
 }
@@ -43,29 +48,44 @@
         [&](const auto& item) { return item.second.request == request && item.second.until > this->clock.now(); });
     if (isListed || this->unwritten.size() >= maxUnwritten)
         return;
-    this->unwritten.push_back(this->nameOf(request, until));
+    const auto name = this->nameOf(request, until);
+    this->unwritten.emplace(name, this->clock.now());
+    this->written.emplace(name, until);
 }
 
 auto QuarantineRegistry::update(const std::set<std::string>& names) -> void
 {
-    const auto era = this->store->era();
+    const auto now = this->clock.now();
+    this->processMissing(now, names);
+    this->processPresent(now, names);
+    std::erase_if(this->written, [now](const auto& item) { return now >= item.second; });
+}
+
+auto QuarantineRegistry::processMissing(TimePoint now, const std::set<std::string>& names) -> void
+{
     for (auto item = this->entries.begin(); item != this->entries.end();) {
         const auto& [name, entry] = *item;
-        if (names.contains(name) || this->clock.now() >= entry.until) {
-            item = names.contains(name) ? std::next(item) : this->entries.erase(item);
+        if (names.contains(name)) {
+            ++item;
             continue;
         }
+        const auto isOver = now >= entry.until;
         // A copy from which the store was restored can lack the object; otherwise an operator has deleted it.
-        if (entry.era < era)
-            this->unwritten.push_back(name);
-        else
+        if (!isOver && entry.era < this->store->era())
+            this->unwritten.emplace(name, this->rewriteTime(name, now));
+        else if (!isOver)
             this->listener.onLifted(entry.request);
         item = this->entries.erase(item);
     }
+}
+
+auto QuarantineRegistry::processPresent(TimePoint now, const std::set<std::string>& names) -> void
+{
     for (const auto& name : names) {
+        this->unwritten.erase(name);
         const auto known = this->entries.find(name);
         if (known != this->entries.end()) {
-            known->second.era = era;
+            known->second.era = this->store->era();
             continue;
         }
         const auto entry = this->parse(name);
@@ -73,16 +93,25 @@
             LogEvent(LogLevel::Warning, "quarantine-malformed").with("name", name);
             continue;
         }
-        if (this->clock.now() >= entry->until)
+        if (now >= entry->until)
             continue;
         this->entries.emplace(name, *entry);
         this->listener.onQuarantined(entry->request, entry->until);
     }
 }
 
+/// The objects of one writer must not be written by the whole fleet at once.
+auto QuarantineRegistry::rewriteTime(const std::string& name, TimePoint now) -> TimePoint
+{
+    if (this->written.contains(name))
+        return now;
+    constexpr auto steps = 1000U;
+    return now + writerTime + rewriteSpread * this->random(steps) / steps;
+}
+
 auto QuarantineRegistry::tick(TimePoint now) -> void
 {
-    if (!this->isWriting && !this->unwritten.empty() && now >= this->nextWriteAt)
+    if (!this->isWriting && now >= this->nextWriteAt)
         this->writeNext(now);
     if (this->pollInterval && !this->isPolling && now >= this->nextPollAt)
         this->poll(now);
@@ -106,15 +135,17 @@
 
 auto QuarantineRegistry::writeNext(TimePoint now) -> void
 {
+    const auto due = std::ranges::find_if(this->unwritten, [now](const auto& item) { return now >= item.second; });
+    if (due == this->unwritten.end())
+        return;
     this->isWriting = true;
     this->nextWriteAt = now + writePause;
-    const auto name = this->unwritten.front();
-    this->store->put(std::string { quarantineKind } + "/" + name, {}, absentVersion,
-        [self = this->shared_from_this(), name](const auto& result) {
+    this->store->put(std::string { quarantineKind } + "/" + due->first, {}, absentVersion,
+        [self = this->shared_from_this(), name = due->first](const auto& result) {
             self->isWriting = false;
             const auto isStored = result.ok() || absl::IsAborted(result.status());
-            if (isStored && !self->unwritten.empty() && self->unwritten.front() == name)
-                self->unwritten.pop_front();
+            if (isStored)
+                self->unwritten.erase(name);
         });
 }
 
--- a/src/citronloft/fleet/quarantine_registry_test.cpp
+++ b/src/citronloft/fleet/quarantine_registry_test.cpp
@@ -25,7 +25,7 @@
             return std::chrono::system_clock::time_point { 1'700'000'000s + this->clock.now().time_since_epoch() };
         };
         this->registry = std::make_shared<QuarantineRegistry>(
-            this->clock, wallClock, this->store, std::nullopt, std::move(listener));
+            this->clock, wallClock, this->store, std::nullopt, seed, std::move(listener));
     }
 
     auto tickFor(Duration duration) -> void
@@ -45,6 +45,16 @@
         this->registry->update(names);
     }
 
+    /// @return the name of an object that another host has written, whose quarantine ends in ten minutes.
+    [[nodiscard]] auto namesOfOtherHost() const -> std::set<std::string>
+    {
+        const auto end = 1'700'000'000s + this->clock.now().time_since_epoch() + 10min;
+        const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(end).count();
+        return { "0000000000000abc_" + std::to_string(seconds) };
+    }
+
+    static constexpr auto seed = std::uint64_t { 7 };
+
     ManualClock clock;
     std::shared_ptr<MemoryStore> store = std::make_shared<MemoryStore>();
     std::shared_ptr<QuarantineRegistry> registry;
@@ -94,6 +104,36 @@
     EXPECT_EQ(this->store->objects.size(), 1U);
 }
 
+TEST_F(QuarantineRegistryTest, OtherHostsLeaveTheRewriteAfterRestoreToTheWriter)
+{
+    auto writes = 0;
+    this->store->nextFault = [&](const std::string&) {
+        ++writes;
+        return WriteFault::None;
+    };
+    const auto names = this->namesOfOtherHost();
+    this->registry->update(names);
+    EXPECT_THAT(this->quarantined, ElementsAre(0xabc));
+    this->store->restore({});
+    this->registry->update({});
+    this->tickFor(1s);
+    EXPECT_EQ(writes, 0);
+    // The writer's object has come back.
+    this->registry->update(names);
+    this->tickFor(30s);
+    EXPECT_EQ(writes, 0);
+    EXPECT_THAT(this->lifted, IsEmpty());
+}
+
+TEST_F(QuarantineRegistryTest, AnotherHostRewritesAfterRestoreIfTheWriterIsGone)
+{
+    this->registry->update(this->namesOfOtherHost());
+    this->store->restore({});
+    this->registry->update({});
+    this->tickFor(30s);
+    EXPECT_EQ(this->store->objects.size(), 1U);
+}
+
 TEST_F(QuarantineRegistryTest, ExpiredAndMalformedNamesAreIgnored)
 {
     this->registry->update({ "00000000000000ab_1600000000", "text", "12_", "_12", "" });
--- a/src/citronloft/fleet/quarantine_service.cpp
+++ b/src/citronloft/fleet/quarantine_service.cpp
@@ -14,7 +14,7 @@
 } // namespace
 
 QuarantineService::QuarantineService(const Membership& members, PeerTransport& transport, const Clock& clock,
-    const std::shared_ptr<ObjectStore>& store, std::optional<Duration> pollInterval)
+    const std::shared_ptr<ObjectStore>& store, std::optional<Duration> pollInterval, std::uint64_t seed)
     : clock(clock)
     , exchange(members, transport)
 {
@@ -31,7 +31,7 @@
         this->quarantine.lift(request);
     };
     this->registry = std::make_shared<QuarantineRegistry>(
-        clock, [] { return std::chrono::system_clock::now(); }, store, pollInterval, std::move(listener));
+        clock, [] { return std::chrono::system_clock::now(); }, store, pollInterval, seed, std::move(listener));
     this->exchange.onObservations([this](const std::vector<RequestObservation>& observations) {
         for (const auto& observation : observations) {
             if (this->quarantine.record(observation, this->clock.now()))
