Slots that a host released return to it if no other host needs them

What callers saw: in a zone of three hosts 9 of 256 slots had no user for good, so that the zone admitted 3.5 % less than its rates.

Cause: a host releases slots above its even share; if the one that was to get them leaves first, the leader assigns them to the same host again. An update that assigns a slot to its stored owner looked like one that keeps it, and the slot was taken for one that was released while the update was on its way. Each later update repeated that.

Ruled out: a division that stays unknown after a restore (unknown=0 in all updates of that zone), a lost lease (valid throughout, one leader and one epoch for the whole run).

Change: the leader remembers which slots had an owner when it sent the update. Only those can have been released since.

ZoneLeaderTest.ReleasedSlotsReturnToTheirHostIfNoOtherNeedsThem: 128 slots of 256 before, 256 after.

--- a/include/citronloft/fleet/zone_leader.hpp
+++ b/include/citronloft/fleet/zone_leader.hpp
@@ -124,6 +124,8 @@
     std::map<std::uint64_t, TimePoint> sentUpdates;
     /// Stored owners of the slots, without slots that their holders have released or that an update is moving.
     SlotMap workingMap;
+    /// The working map when the last update was sent, without the slots that this update assigns.
+    SlotMap sentWorkingMap;
     std::map<std::uint64_t, Holder> holders;
     TimePoint unchangedSince {};
     TimePoint earliestTakeover {};
--- a/src/citronloft/fleet/zone_leader.cpp
+++ b/src/citronloft/fleet/zone_leader.cpp
@@ -225,6 +225,7 @@
     }
     if (this->leaving && SlotMap(newShares.ranges).count(this->incarnation) == 0)
         newShares.zoneLeader = 0;
+    this->sentWorkingMap = this->workingMap;
     this->nextCallAt = now + this->terms.leaderRenewalInterval;
     this->updatedAt = now;
     this->callPending = true;
@@ -307,11 +308,10 @@
 /// Makes a stored update of this leader the current state; the lease counts from the time at which it was sent.
 auto ZoneLeader::applyStored(const ZoneShares& storedUpdate, const StoreRevision& storedVersion) -> void
 {
-    const auto before = SlotMap(this->shares.ranges);
     const auto after = SlotMap(storedUpdate.ranges);
     for (auto slot = std::uint32_t { 0 }; slot < slotsPerZone; ++slot) {
         // A slot that was released while the update was in progress remains free.
-        const auto isReleased = this->workingMap.ownerOf(slot) == 0 && after.ownerOf(slot) == before.ownerOf(slot);
+        const auto isReleased = this->workingMap.ownerOf(slot) == 0 && this->sentWorkingMap.ownerOf(slot) != 0;
         if (!isReleased)
             this->workingMap.setOwner(slot, after.ownerOf(slot));
     }
