Zone shares written before eras are read

Zone shares got two fields, and an object without them could not be decoded: hosts of a new version would have become leader of no zone that an older version had written, and a zone without a leader gets no slots.

Change: decodeZoneShares() reads both layouts; an object without an era is of era 0. The other way is not possible: hosts of an older version do not read the new layout (CHANGELOG).

--- a/include/citronloft/fleet/zone_leader.hpp
+++ b/include/citronloft/fleet/zone_leader.hpp
@@ -37,6 +37,10 @@
     }
 };
 
+/// @return the shares that an object states, also if a version without eras has written it; InvalidArgument if it is
+/// malformed.
+auto decodeZoneShares(const std::string& value) -> absl::StatusOr<ZoneShares>;
+
 /// @return the key of a zone's shares object.
 auto zoneSharesKey(const std::string& zone) -> std::string;
 
--- a/src/citronloft/fleet/slot_lease_holder.cpp
+++ b/src/citronloft/fleet/slot_lease_holder.cpp
@@ -109,7 +109,7 @@
             self->failedPollAt = now;
             return;
         }
-        const auto shares = result.ok() ? decode<ZoneShares>(result->value) : result.status();
+        const auto shares = result.ok() ? decodeZoneShares(result->value) : result.status();
         if (!shares.ok() || shares->zoneLeader == 0 || shares->epoch < self->epoch)
             return;
         self->leaderAddress = shares->leaderAddress;
--- a/src/citronloft/fleet/zone_leader.cpp
+++ b/src/citronloft/fleet/zone_leader.cpp
@@ -17,8 +17,28 @@
 /// restore are not used again.
 constexpr auto epochsPerEra = std::uint32_t { 1U << 16U };
 
+/// ZoneShares as versions without eras write it.
+struct ZoneSharesWithoutEra {
+    ZoneShares shares;
+
+    template <typename Archive> auto serialize(Archive& archive) -> void
+    {
+        archive(this->shares.epoch, this->shares.zoneLeader, this->shares.leaderAddress, this->shares.renewals,
+            this->shares.ranges);
+    }
+};
+
 } // namespace
 
+auto decodeZoneShares(const std::string& value) -> absl::StatusOr<ZoneShares>
+{
+    auto shares = decode<ZoneShares>(value);
+    if (shares.ok())
+        return shares;
+    const auto withoutEra = decode<ZoneSharesWithoutEra>(value);
+    return withoutEra.ok() ? absl::StatusOr<ZoneShares> { withoutEra->shares } : shares;
+}
+
 auto zoneSharesKey(const std::string& zone) -> std::string { return "zones/" + zone + "/shares"; }
 
 ZoneLeader::ZoneLeader(LeaseTerms terms, std::uint64_t incarnation, std::string zone, const Clock& clock,
@@ -124,7 +144,7 @@
 auto ZoneLeader::processShares(const StoredObject& object, TimePoint now) -> void
 {
     this->storeAnswerAt = now;
-    const auto found = decode<ZoneShares>(object.value);
+    const auto found = decodeZoneShares(object.value);
     if (!found.ok()) {
         LogEvent(LogLevel::Error, "zone-shares-malformed").with("zone", this->zone);
         return;
@@ -277,7 +297,7 @@
         if (!result.ok() || result->version <= self->version)
             return;
         self->storeAnswerAt = self->clock.now();
-        const auto storedUpdate = decode<ZoneShares>(result->value);
+        const auto storedUpdate = decodeZoneShares(result->value);
         if (storedUpdate.ok() && storedUpdate->era < result->version.era)
             return self->replaceCopy(*storedUpdate, result->version);
         const auto isOwn = storedUpdate.ok() && storedUpdate->zoneLeader == self->incarnation
--- a/src/citronloft/fleet/zone_leader_test.cpp
+++ b/src/citronloft/fleet/zone_leader_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "citronloft/base/codec.hpp"
 #include "citronloft/fleet/membership.hpp"
 #include "fakes/memory_store.hpp"
 
@@ -88,5 +89,27 @@
     EXPECT_EQ(this->grantedCount(first), slotsPerZone);
 }
 
+/// The layout of ZoneShares before it stated the store's era.
+struct ZoneSharesWithoutEra {
+    ZoneShares shares;
+
+    template <typename Archive> auto serialize(Archive& archive) -> void
+    {
+        archive(this->shares.epoch, this->shares.zoneLeader, this->shares.leaderAddress, this->shares.renewals,
+            this->shares.ranges);
+    }
+};
+
+TEST_F(ZoneLeaderTest, ObjectOfAnOlderVersionIsTakenOver)
+{
+    auto written = ZoneSharesWithoutEra {};
+    written.shares.epoch = 4;
+    written.shares.zoneLeader = 9;
+    written.shares.ranges = { { 9, 0, slotsPerZone } };
+    this->store->put(zoneSharesKey("a1"), encode(written), absentVersion, [](const auto&) {});
+    this->tickFor(15s);
+    EXPECT_EQ(this->leader->heldEpoch(), 5U);
+}
+
 } // namespace
 } // namespace citronloft
