Version tags of an object service without eras are sent as they were received

The client of the project's own interface sent every version as "ERA.NUMBER", also to a service that states only a number: its conditional writes would all have been refused, since the service compares tags as text.

Change: in era 0 a tag is the number alone, in both directions; the stand-in does the same and uses the client's two functions.

VersionTagTest.IsSentAsItWasReceived/WithoutEra fails with the format of before ("0.5" where "5" is expected, in If-Match and watch).

--- a/include/citronloft/edge/http_object_store.hpp
+++ b/include/citronloft/edge/http_object_store.hpp
@@ -4,6 +4,8 @@
 #pragma once
 
 #include <memory>
+#include <string>
+#include <string_view>
 
 #include "citronloft/base/metrics.hpp"
 #include "citronloft/edge/http_client.hpp"
@@ -21,6 +23,13 @@
     std::chrono::milliseconds maxBackoff { 3000 };
 };
 
+/// @return the version tag of a revision: "NUMBER" in era 0, which services that are never restored stay in, or
+/// "ERA.NUMBER".
+auto formatVersionTag(const StoreRevision& revision) -> std::string;
+
+/// @return the revision that a version tag states, with or without quotes; zero for what is malformed.
+auto parseVersionTag(std::string_view tag) -> StoreRevision;
+
 /// @brief Creates a client of the platform's object service; calls fail immediately while the circuit breaker is open.
 auto makeHttpObjectStore(boost::asio::io_context& context, const Clock& clock, Metrics& metrics,
     HttpObjectStoreOption option) -> std::shared_ptr<ObjectStore>;
--- a/programs/standins/store.cpp
+++ b/programs/standins/store.cpp
@@ -9,8 +9,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/program_options.hpp>
 
+#include "citronloft/edge/http_object_store.hpp"
 #include "citronloft/edge/http_server.hpp"
-#include "citronloft/fleet/store_revision.hpp"
 #include "standin_control.hpp"
 
 namespace citronloft {
@@ -61,15 +61,6 @@
     return response;
 }
 
-/// Reads a version tag "ERA.NUMBER".
-auto parseTag(const std::string& text) -> StoreRevision
-{
-    const auto dot = text.find('.');
-    if (dot == std::string::npos)
-        return {};
-    return { std::stoull("0" + text.substr(0, dot)), std::stoull("0" + text.substr(dot + 1)) };
-}
-
 class StoreStandin {
 public:
     explicit StoreStandin(boost::asio::io_context& context)
@@ -141,7 +132,7 @@
 
     [[nodiscard]] auto withVersion(HttpResponse response, const Object& object) const -> HttpResponse
     {
-        response.fields.set("ETag", '"' + formatRevision(this->revisionOf(object)) + '"');
+        response.fields.set("ETag", '"' + formatVersionTag(this->revisionOf(object)) + '"');
         return response;
     }
 
@@ -167,7 +158,8 @@
     {
         const auto watch = queryValue(request.target, "watch");
         if (!watch.empty())
-            return this->watch(key, parseTag(watch), std::stoll("0" + queryValue(request.target, "wait_ms")), yield);
+            return this->watch(
+                key, parseVersionTag(watch), std::stoll("0" + queryValue(request.target, "wait_ms")), yield);
         ++this->callCounts.reads;
         const auto found = this->objects.find(key);
         if (found == this->objects.end())
@@ -209,7 +201,7 @@
         const auto expected = request.fields.get("If-Match");
         const auto isExpected = request.fields.has("If-None-Match")
             ? object.version == 0
-            : expected == '"' + formatRevision(this->revisionOf(object)) + '"';
+            : expected == '"' + formatVersionTag(this->revisionOf(object)) + '"';
         if (!isExpected) {
             if (object.version == 0)
                 this->objects.erase(key);
--- a/src/citronloft/edge/http_object_store.cpp
+++ b/src/citronloft/edge/http_object_store.cpp
@@ -18,23 +18,7 @@
 
 constexpr auto objectsPath = std::string_view { "/v1/objects/" };
 
-/// Reads a version tag "ERA.NUMBER"; a service that is never restored from a copy states only the number.
-auto versionOf(const HttpResponse& response) -> StoreRevision
-{
-    auto tag = response.fields.get("ETag");
-    if (tag.size() >= 2 && tag.front() == '"')
-        tag = tag.substr(1, tag.size() - 2);
-    auto version = StoreRevision {};
-    const auto end = tag.data() + tag.size();
-    const auto first = std::from_chars(tag.data(), end, version.number);
-    if (first.ptr == end || *first.ptr != '.')
-        return version;
-    version.era = std::exchange(version.number, 0);
-    std::from_chars(first.ptr + 1, end, version.number);
-    return version;
-}
-
-auto quotedTag(const StoreRevision& version) -> std::string { return '"' + formatRevision(version) + '"'; }
+auto versionOf(const HttpResponse& response) -> StoreRevision { return parseVersionTag(response.fields.get("ETag")); }
 
 auto statusOf(const Exchange& exchange) -> absl::Status
 {
@@ -80,7 +64,7 @@
         if (expected == absentVersion)
             request.fields.set("If-None-Match", "*");
         else
-            request.fields.set("If-Match", quotedTag(expected));
+            request.fields.set("If-Match", '"' + formatVersionTag(expected) + '"');
         this->call(std::move(request), Duration {}, [done = std::move(done)](const auto& status, auto& response) {
             if (status.ok())
                 done(versionOf(response));
@@ -93,7 +77,7 @@
     {
         const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
         auto target = std::string { objectsPath } + key;
-        target += "?watch=" + formatRevision(after) + "&wait_ms=" + std::to_string(waitMs);
+        target += "?watch=" + formatVersionTag(after) + "&wait_ms=" + std::to_string(waitMs);
         this->call({ "GET", std::move(target), {}, {} }, wait, readObject(std::move(done)));
     }
 
@@ -165,6 +149,25 @@
 
 } // namespace
 
+auto formatVersionTag(const StoreRevision& revision) -> std::string
+{
+    return revision.era == 0 ? std::to_string(revision.number) : formatRevision(revision);
+}
+
+auto parseVersionTag(std::string_view tag) -> StoreRevision
+{
+    if (tag.size() >= 2 && tag.front() == '"')
+        tag = tag.substr(1, tag.size() - 2);
+    auto version = StoreRevision {};
+    const auto end = tag.data() + tag.size();
+    const auto first = std::from_chars(tag.data(), end, version.number);
+    if (first.ptr == end || *first.ptr != '.')
+        return version;
+    version.era = std::exchange(version.number, 0);
+    std::from_chars(first.ptr + 1, end, version.number);
+    return version;
+}
+
 auto makeHttpObjectStore(boost::asio::io_context& context, const Clock& clock, Metrics& metrics,
     HttpObjectStoreOption option) -> std::shared_ptr<ObjectStore>
 {
