--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -232,6 +232,11 @@
     printSize("limit notice, 1 target", limits);
     limits.reports.resize(256, { 1, 2.5, 1 });
     printSize("limit notice, 256 targets", limits);
+    auto losses = LossNotice { 1, 1, "christchurch-a", false, {} };
+    losses.reports.resize(1, { UINT64_MAX, UINT64_MAX, 1 });
+    printSize("loss notice, 1 request", losses);
+    losses.reports.resize(256, { UINT64_MAX, UINT64_MAX, 1 });
+    printSize("loss notice, 256 requests", losses);
     printSize("heartbeat without digests", heartbeat);
     heartbeat.zones.resize(97);
     printSize("heartbeat, 97 zone digests", heartbeat);
