Logs tell which configuration refused a request, where it came from, and what was known of the key

- request-failed: config_source; for an unknown key the start of its digest and the last version that contained it.
WithdrawnKeys remembers the latest thousand withdrawn keys for that and decides nothing.
- config-in-force: source.
- store-lost: waited_ms, the time for which the host had been waiting for the answer that it did not get.

Shown by: policy_test *Withdrawn* (2 new tests).

--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/spawn.hpp>
 #include <pcg_random.hpp>
 
+#include "citronloft/base/log.hpp"
 #include "citronloft/base/log_limiter.hpp"
 #include "citronloft/base/metrics.hpp"
 #include "citronloft/edge/call.hpp"
@@ -24,6 +25,7 @@
 #include "citronloft/fleet/discovery.hpp"
 #include "citronloft/fleet/fleet_host.hpp"
 #include "citronloft/policy/retry.hpp"
+#include "citronloft/policy/withdrawn_keys.hpp"
 
 namespace citronloft {
 
@@ -153,6 +155,7 @@
     auto reportLimits() -> void;
     auto logRateLimit(const LimitUpdate& update, const std::string& pool, std::string_view source) -> void;
     auto logMalformedRateLimit(const Call& call, const std::string& target, const absl::Status& reason) -> void;
+    auto addKeyState(LogEvent& event, std::string_view key) const -> void;
     auto logFailure(const HttpRequest& request, const CallResult& result, Duration took) -> void;
     [[nodiscard]] auto teamOf(std::string_view key) const -> const Team*;
     auto logLostConnection(const Call& call, const std::string& target, bool wasReused, Duration afterSending) -> void;
@@ -182,6 +185,7 @@
     TargetProber prober;
     SpillRouter spillRouter;
     std::shared_ptr<const ConfigSnapshot> snapshot;
+    WithdrawnKeys withdrawnKeys;
     std::map<std::string, std::unique_ptr<PoolAdmission>> admissions;
     std::size_t inFlightRequests = 0;
     TimePoint lastRequestTime {};
--- a/include/citronloft/fleet/config_follower.hpp
+++ b/include/citronloft/fleet/config_follower.hpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 #include "citronloft/fleet/config_manifest.hpp"
@@ -14,10 +15,17 @@
 
 namespace citronloft {
 
+/// @brief Where a host has read a configuration.
+enum class ConfigSource : std::uint8_t { Store, Peer };
+
+/// @return name of a source in lower case.
+auto configSourceName(ConfigSource source) -> std::string_view;
+
 /// @brief A configuration that is active on a host, with its version.
 struct ActiveConfig {
     std::uint64_t version = 0;
     Config config;
+    ConfigSource source = ConfigSource::Store;
 };
 
 /// @brief Request to a peer for the changes since the version that the sender has.
@@ -82,11 +90,12 @@
     auto processManifest(const StoredObject& object) -> void;
     auto startPeerFetch(const Address& peer, TimePoint now) -> void;
     auto notifyPeers(std::uint64_t oldVersion) -> void;
-    auto apply(const ConfigUpdate& update) -> bool;
-    auto applyRecords(ConfigRecords newRecords, std::uint64_t version, const std::string& expected) -> bool;
-    auto applyDelta(const ConfigUpdate& update) -> bool;
+    auto apply(const ConfigUpdate& update, ConfigSource source) -> bool;
+    auto applyRecords(ConfigRecords newRecords, std::uint64_t version, const std::string& expected, ConfigSource source)
+        -> bool;
+    auto applyDelta(const ConfigUpdate& update, ConfigSource source) -> bool;
     auto applyRecordChanges(const std::vector<RecordChange>& changes) -> std::vector<RecordChange>;
-    auto activate(std::uint64_t version, Config config) -> void;
+    auto activate(std::uint64_t version, Config config, ConfigSource source) -> void;
     [[nodiscard]] auto version() const -> std::uint64_t { return this->current ? this->current->version : 0; }
 
     const Clock& clock;
--- a/include/citronloft/fleet/object_mirror.hpp
+++ b/include/citronloft/fleet/object_mirror.hpp
@@ -160,9 +160,9 @@
     /// When this mirror learned that it needs a list.
     TimePoint listNeededAt {};
     bool isCallPending = false;
+    TimePoint callStartedAt {};
     TimePoint nextCallAt {};
-    /// Start of the current watch, and the pause after it.
-    TimePoint watchStartedAt {};
+    /// Pause after the current watch.
     Duration nextPause {};
 };
 
--- a/include/citronloft/policy/key_table.hpp
+++ b/include/citronloft/policy/key_table.hpp
@@ -22,6 +22,9 @@
     /// @return index of the key's team in Config::teams, or nothing if the key is unknown.
     [[nodiscard]] auto find(std::string_view key) const -> std::optional<std::size_t>;
 
+    /// @param digest digest of a caller's key.
+    [[nodiscard]] auto findDigest(const Digest& digest) const -> std::optional<std::size_t>;
+
 private:
     struct Entry {
         Digest digest;
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -269,7 +269,9 @@
         this->service->setLimits(active->config.settings.callers);
     if (!this->usesAdapter())
         this->updateServingState();
-    LogEvent(LogLevel::Info, "config-in-force").with("version", active->version);
+    LogEvent(LogLevel::Info, "config-in-force")
+        .with("version", active->version)
+        .with("source", configSourceName(active->source));
 }
 
 auto Host::updateServingState() -> void
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -90,6 +90,8 @@
     next->active = active;
     next->routes = RouteTable(active->config);
     next->keys = KeyTable(active->config);
+    if (this->snapshot)
+        this->withdrawnKeys.record(this->snapshot->active->config, this->snapshot->active->version, next->keys);
     this->snapshot = std::move(next);
     this->lookup.setConfig(*active);
     for (const auto& pool : active->config.pools) {
--- a/src/citronloft/edge/gateway_log.cpp
+++ b/src/citronloft/edge/gateway_log.cpp
@@ -1,5 +1,6 @@
 #include "citronloft/edge/gateway.hpp"
 
+#include "citronloft/base/digest.hpp"
 #include "citronloft/base/log.hpp"
 #include "citronloft/policy/request_identity.hpp"
 #include "citronloft/policy/shares.hpp"
@@ -27,6 +28,15 @@
     return answer;
 }
 
+/// Adds what is known of an unknown key: the start of its digest, and the last version that contained it.
+auto Gateway::addKeyState(LogEvent& event, std::string_view key) const -> void
+{
+    constexpr auto prefixLength = std::size_t { 16 };
+    const auto digest = sha256(key);
+    event.with("key_digest", toHex(digest).substr(0, prefixLength))
+        .with("key_last_config", this->withdrawnKeys.lastVersion(digest).value_or(0));
+}
+
 /// Logs a refused or failed request with the state that led to the result; each result code is rate-limited.
 auto Gateway::logFailure(const HttpRequest& request, const CallResult& result, Duration latency) -> void
 {
@@ -40,8 +50,8 @@
     const auto* team = this->teamOf(fields.key);
     const auto rate
         = this->fleet.rates().state(team == nullptr ? 0 : bucketId(teamBucketName(team->name)), this->clock.now());
-    LogEvent(LogLevel::Info, "request-failed")
-        .with("request", fields.requestId)
+    auto event = LogEvent(LogLevel::Info, "request-failed");
+    event.with("request", fields.requestId)
         .with("team", team == nullptr ? std::string_view {} : std::string_view { team->name })
         .with("result", info.name)
         .with("code", static_cast<unsigned>(info.code))
@@ -54,11 +64,14 @@
         .with("attempts", result.attempts)
         .with("took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(latency).count())
         .with("config", active ? active->version : 0)
+        .with("config_source", active ? configSourceName(active->source) : "none")
         .with("config_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age).count())
         .with("team_rate", rate.fleetPerSecond)
         .with("host_rate", rate.hostPerSecond)
         .with("host_tokens", rate.tokens)
         .with("left_out", suppressedLines);
+    if (result.code == ResultCode::KeyUnknown)
+        this->addKeyState(event, fields.key);
 }
 
 /// @return the team that owns a key, or null.
--- a/src/citronloft/fleet/config_follower.cpp
+++ b/src/citronloft/fleet/config_follower.cpp
@@ -1,6 +1,7 @@
 #include "citronloft/fleet/config_follower.hpp"
 
 #include <algorithm>
+#include <array>
 
 #include "citronloft/base/codec.hpp"
 #include "citronloft/base/log.hpp"
@@ -21,6 +22,12 @@
 
 } // namespace
 
+auto configSourceName(ConfigSource source) -> std::string_view
+{
+    constexpr auto names = std::to_array<std::string_view>({ "store", "peer" });
+    return names.at(static_cast<std::size_t>(source));
+}
+
 ConfigFollower::ConfigFollower(const Clock& clock, Membership& membership, PeerTransport& transport,
     std::shared_ptr<ObjectStore> store, std::shared_ptr<ConfigFetcher> fetcher, AppliedCallback onApplied)
     : clock(clock)
@@ -66,14 +73,14 @@
     this->recentUpdates.push_back(std::move(update));
     if (this->recentUpdates.size() > maxRecentUpdates)
         this->recentUpdates.pop_front();
-    this->activate(version, std::move(config));
+    this->activate(version, std::move(config), ConfigSource::Store);
 }
 
 auto ConfigFollower::receive(const ConfigNotice& notice, const Address& from, TimePoint now) -> void
 {
     if (notice.version <= this->version())
         return;
-    const auto isApplied = notice.update && this->apply(*notice.update);
+    const auto isApplied = notice.update && this->apply(*notice.update, ConfigSource::Peer);
     if (!isApplied && !this->isFetching)
         this->startPeerFetch(from, now);
 }
@@ -153,7 +160,7 @@
         return;
     }
     const auto update = ConfigUpdate { manifest->deltaFrom, manifest->version, manifest->digest, manifest->delta };
-    if (manifest->deltaFrom == this->version() && this->version() > 0 && this->apply(update)) {
+    if (manifest->deltaFrom == this->version() && this->version() > 0 && this->apply(update, ConfigSource::Store)) {
         this->watchedVersion = object.version;
         this->confirmedAt = this->clock.now();
         return;
@@ -168,7 +175,7 @@
                 return;
             }
             self->watchedVersion = std::max(self->watchedVersion, objectVersion);
-            if (self->applyRecords(*std::move(loaded), manifest.version, manifest.digest))
+            if (self->applyRecords(*std::move(loaded), manifest.version, manifest.digest, ConfigSource::Store))
                 self->confirmedAt = self->clock.now();
         });
 }
@@ -180,24 +187,25 @@
     this->fetcher->fetch(peer, { this->version() }, [self = this->shared_from_this()](const auto& update) {
         self->isFetching = false;
         if (update.ok())
-            self->apply(*update);
+            self->apply(*update, ConfigSource::Peer);
     });
 }
 
 /// @return whether the update was applied.
-auto ConfigFollower::apply(const ConfigUpdate& update) -> bool
+auto ConfigFollower::apply(const ConfigUpdate& update, ConfigSource source) -> bool
 {
     if (update.toVersion <= this->version())
         return false;
     if (update.fromVersion == 0) {
         auto records = ConfigRecords {};
         applyChanges(records, update.changes);
-        return this->applyRecords(std::move(records), update.toVersion, update.digest);
+        return this->applyRecords(std::move(records), update.toVersion, update.digest, source);
     }
-    return update.fromVersion == this->version() && this->applyDelta(update);
+    return update.fromVersion == this->version() && this->applyDelta(update, source);
 }
 
-auto ConfigFollower::applyRecords(ConfigRecords newRecords, std::uint64_t version, const std::string& expected) -> bool
+auto ConfigFollower::applyRecords(
+    ConfigRecords newRecords, std::uint64_t version, const std::string& expected, ConfigSource source) -> bool
 {
     if (version <= this->version())
         return false;
@@ -212,13 +220,13 @@
     this->records = std::move(newRecords);
     this->digest = newDigest;
     this->recentUpdates.clear();
-    this->activate(version, *std::move(config));
+    this->activate(version, *std::move(config), source);
     return true;
 }
 
 /// Costs time in proportion to the changes, not to the configuration. Reverts the changes if they do not lead to the
 /// expected digest.
-auto ConfigFollower::applyDelta(const ConfigUpdate& update) -> bool
+auto ConfigFollower::applyDelta(const ConfigUpdate& update, ConfigSource source) -> bool
 {
     auto config = this->current->config;
     const auto undo = this->applyRecordChanges(update.changes);
@@ -231,7 +239,7 @@
     this->recentUpdates.push_back(update);
     if (this->recentUpdates.size() > maxRecentUpdates)
         this->recentUpdates.pop_front();
-    this->activate(update.toVersion, std::move(config));
+    this->activate(update.toVersion, std::move(config), source);
     return true;
 }
 
@@ -256,10 +264,10 @@
     return undo;
 }
 
-auto ConfigFollower::activate(std::uint64_t version, Config config) -> void
+auto ConfigFollower::activate(std::uint64_t version, Config config, ConfigSource source) -> void
 {
     const auto oldVersion = this->version();
-    this->current = std::make_shared<const ActiveConfig>(ActiveConfig { version, std::move(config) });
+    this->current = std::make_shared<const ActiveConfig>(ActiveConfig { version, std::move(config), source });
     this->membership.vitals().configVersion = version;
     if (!this->usesPlatformConfig)
         this->notifyPeers(oldVersion);
--- a/src/citronloft/fleet/object_mirror.cpp
+++ b/src/citronloft/fleet/object_mirror.cpp
@@ -44,6 +44,7 @@
 auto ObjectMirror::startList(const std::string& after) -> void
 {
     this->isCallPending = true;
+    this->callStartedAt = this->clock.now();
     if (after.empty())
         this->listed.clear();
     this->feed->list(this->option.kind, after, [self = this->shared_from_this()](auto batch) {
@@ -62,7 +63,7 @@
 auto ObjectMirror::startWatch() -> void
 {
     this->isCallPending = true;
-    this->watchStartedAt = this->clock.now();
+    this->callStartedAt = this->clock.now();
     // While the store is unavailable, one call probes it and blocks all others, so it must not wait for an event.
     const auto wait = this->storeBackoff->isUnavailable() ? this->option.probeWait : this->option.watchWait;
     this->feed->watch(this->option.kind, this->revision, wait, [self = this->shared_from_this()](auto batch) {
@@ -231,7 +232,7 @@
 /// Doubles the pause up to its maximum while watches end early, as they do in a burst, and resets it otherwise.
 auto ObjectMirror::updatePause(TimePoint now) -> void
 {
-    const auto isBurst = now - this->watchStartedAt < this->option.burstEndWait;
+    const auto isBurst = now - this->callStartedAt < this->option.burstEndWait;
     this->nextPause
         = isBurst ? std::clamp(this->nextPause * 2, this->option.pause, this->option.maxPause) : this->option.pause;
 }
@@ -271,10 +272,14 @@
 
 auto ObjectMirror::recordFailure(const absl::Status& status) -> void
 {
-    if (this->storeBackoff->recordFailure(status, this->clock.now()))
-        LogEvent(LogLevel::Warning, "store-lost").with("kind", this->option.kind).with("reason", status.ToString());
+    const auto now = this->clock.now();
+    if (this->storeBackoff->recordFailure(status, now))
+        LogEvent(LogLevel::Warning, "store-lost")
+            .with("kind", this->option.kind)
+            .with("waited_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - this->callStartedAt).count())
+            .with("reason", status.ToString());
     this->listed.clear();
-    this->nextCallAt = this->clock.now();
+    this->nextCallAt = now;
 }
 
 } // namespace citronloft
--- a/src/citronloft/policy/key_table.cpp
+++ b/src/citronloft/policy/key_table.cpp
@@ -23,9 +23,10 @@
     }
 }
 
-auto KeyTable::find(std::string_view key) const -> std::optional<std::size_t>
+auto KeyTable::find(std::string_view key) const -> std::optional<std::size_t> { return this->findDigest(sha256(key)); }
+
+auto KeyTable::findDigest(const Digest& digest) const -> std::optional<std::size_t>
 {
-    const auto digest = sha256(key);
     auto [entry, end] = this->entries.equal_range(bucketOf(digest));
     for (; entry != end; ++entry) {
         if (constantTimeEqual(entry->second.digest, digest))
--- a/src/citronloft/policy/rules_test.cpp
+++ b/src/citronloft/policy/rules_test.cpp
@@ -6,6 +6,7 @@
 #include "citronloft/policy/retry.hpp"
 #include "citronloft/policy/route_table.hpp"
 #include "citronloft/policy/target_health.hpp"
+#include "citronloft/policy/withdrawn_keys.hpp"
 
 namespace citronloft {
 namespace {
@@ -108,6 +109,34 @@
     EXPECT_FALSE(KeyTable(config).find("key-b2"));
 }
 
+TEST(WithdrawnKeys, TellWithdrawnKeysFromUnknownOnes)
+{
+    auto config = Config {};
+    config.teams = { { "a", 1, 1, 1, { sha256("key-a"), sha256("key-a2") } } };
+    auto successor = config;
+    successor.teams[0].keys.pop_back();
+    auto withdrawn = WithdrawnKeys {};
+    withdrawn.record(config, 7, KeyTable(successor));
+    EXPECT_EQ(withdrawn.lastVersion(sha256("key-a2")), 7U);
+    EXPECT_FALSE(withdrawn.lastVersion(sha256("key-a")));
+    EXPECT_FALSE(withdrawn.lastVersion(sha256("key-b")));
+    withdrawn.record(config, 12, KeyTable(successor));
+    EXPECT_EQ(withdrawn.lastVersion(sha256("key-a2")), 12U);
+}
+
+TEST(WithdrawnKeys, KeepTheLatestThousand)
+{
+    constexpr auto count = 1100;
+    auto config = Config {};
+    config.teams = { { "a", 1, 1, 1, {} } };
+    for (auto i = 0; i < count; ++i)
+        config.teams[0].keys.push_back(sha256("key-" + std::to_string(i)));
+    auto withdrawn = WithdrawnKeys {};
+    withdrawn.record(config, 3, KeyTable {});
+    EXPECT_FALSE(withdrawn.lastVersion(sha256("key-0")));
+    EXPECT_EQ(withdrawn.lastVersion(sha256("key-1099")), 3U);
+}
+
 TEST(HostLifecycle, NeverReturnsToAnEarlierState)
 {
     auto lifecycle = makeHostLifecycle();
