Failing test: hosts learn of changes after the store took calls without answering them

The fake feed had no such fault: its silent store ended each call after 1.5 s, so that every host noticed at once. FeedFault::Unanswered keeps the connection open; a call then ends 1.5 s after its own wait. The fixture can now let every host watch the store itself, as the daemon does, and can bind hosts to changes made while the store was not stable once it is.

--- a/src/citronloft/fleet/withdrawal_bound_test.cpp
+++ b/src/citronloft/fleet/withdrawal_bound_test.cpp
@@ -16,6 +16,7 @@
 constexpr auto configBound = 2500ms;
 constexpr auto evacuationBound = 5000ms;
 constexpr auto stableWindow = 4s;
+constexpr auto shortestStableWindow = 3s;
 constexpr auto history = 20s;
 constexpr auto step = 20ms;
 constexpr auto hostsPerZone = std::size_t { 4 };
@@ -181,8 +182,10 @@
     {
         const auto now = this->events.now();
         auto& host = *this->simulatedHosts[index];
-        host.zoneFeed->tick(this->isZoneReader(index), now);
+        host.zoneFeed->tick(this->readsDirectly || this->isZoneReader(index), now);
         host.discovery->tick(now);
+        if (this->readsDirectly)
+            return;
         const auto notice = host.zoneFeed->takeDueNotice(host.discovery->feedStates(), now);
         if (!notice || host.losesSentMessages)
             return;
@@ -293,15 +296,32 @@
         this->store.remove(kind, name);
     }
 
+    /// Makes the store, or the connections of about half of the hosts, take calls without answering them.
+    auto silenceStore(Duration duration) -> void
+    {
+        const auto isForAll = this->chance(0.6);
+        this->storeFault = isForAll ? FeedFault::Unanswered : FeedFault::None;
+        for (auto& host : this->simulatedHosts) {
+            host->fault = isForAll || this->chance(0.5) ? FeedFault::Unanswered : FeedFault::None;
+            host->feed->setFault(host->fault);
+        }
+        this->run(duration);
+        this->storeFault = FeedFault::None;
+        for (auto& host : this->simulatedHosts) {
+            host->fault = FeedFault::None;
+            host->feed->setFault(FeedFault::None);
+        }
+    }
+
     [[nodiscard]] auto isStoreStable() const -> bool
     {
-        return this->storeFault == FeedFault::None && this->events.now() - this->lastStoreFaultAt >= stableWindow;
+        return this->storeFault == FeedFault::None && this->events.now() - this->lastStoreFaultAt >= this->window;
     }
 
     [[nodiscard]] auto areBoundsBinding(const SimulatedHost& host) const -> bool
     {
         return this->isStoreStable() && host.fault == FeedFault::None
-            && this->events.now() - host.lastFaultAt >= stableWindow;
+            && this->events.now() - host.lastFaultAt >= this->window;
     }
 
     /// Makes a random change, which the store acknowledges immediately. The bounds do not apply to changes made while
@@ -309,7 +329,7 @@
     auto withdraw() -> void
     {
         const auto now = this->events.now();
-        const auto isBinding = this->isStoreStable();
+        const auto isBinding = this->bindsUnstableChanges || this->isStoreStable();
         const auto name = "t" + std::to_string(this->pick(30));
         switch (this->pick(5)) {
         case 0:
@@ -396,6 +416,11 @@
     std::map<std::string, TimePoint> evacuatedZones;
     std::map<std::uint64_t, TimePoint> configVersions;
     std::uint64_t version = 1;
+    /// Every host watches the store itself, as in the daemon.
+    bool readsDirectly = false;
+    /// Bounds apply to changes made while the store is not stable, once it is stable.
+    bool bindsUnstableChanges = false;
+    Duration window = stableWindow;
     std::uint64_t checks = 0;
     double maxBoundFraction = 0;
     std::string firstLate;
@@ -447,6 +472,31 @@
     EXPECT_EQ(this->firstLate, "") << "seed " << GetParam() << ": learned of a withdrawal after its bound";
 }
 
+/// Guards against hosts that learn of no change after the store was silent: the watches that it took meanwhile were
+/// never answered and ended only after their own wait.
+TEST_P(WithdrawalBound, HoldsAfterStoreTookCallsWithoutAnsweringThem)
+{
+    this->readsDirectly = true;
+    this->bindsUnstableChanges = true;
+    this->window = shortestStableWindow;
+    this->run(1s);
+    for (auto round = 0; round < 20; ++round) {
+        // A change ends the pending watches, so that the next ones meet the silent store.
+        this->withdraw();
+        this->run(std::chrono::milliseconds { this->pick(1200) });
+        this->silenceStore(std::chrono::milliseconds { 100 + this->pick(8000) });
+        for (auto count = 1 + this->pick(4); count > 0; --count) {
+            this->withdraw();
+            this->run(std::chrono::milliseconds { 20 + this->pick(400) });
+        }
+        this->run(std::chrono::milliseconds { 3000 + this->pick(3000) });
+        this->withdraw();
+        this->run(std::chrono::milliseconds { 1000 + this->pick(3000) });
+    }
+    EXPECT_GT(this->checks, 0U);
+    EXPECT_EQ(this->firstLate, "") << "seed " << GetParam() << ": learned of a withdrawal after its bound";
+}
+
 /// Guards against store calls from every host: hundreds of hosts watch the same few kinds, and the store counts each
 /// call. Without faults only one host of each zone calls the store.
 TEST_P(WithdrawalBound, OneHostOfAZoneReadsTheStore)
--- a/tests/fakes/virtual_feed.hpp
+++ b/tests/fakes/virtual_feed.hpp
@@ -187,6 +187,9 @@
     Silent,
     /// Answers are delayed.
     Slow,
+    /// Calls are taken and never answered, also not after the fault; the connection stays open. Calls that wait at the
+    /// store already are answered if their answer is due after the fault.
+    Unanswered,
 };
 
 /// @brief One host's connection to the store.
@@ -216,13 +219,13 @@
 
     auto list(const std::string& kind, const std::string& after, Done done) -> void override
     {
-        this->start(
-            std::move(done), [this, kind, after](auto number) { this->answer(number, this->store.page(kind, after)); });
+        this->start(std::move(done), Duration {},
+            [this, kind, after](auto number) { this->answer(number, this->store.page(kind, after)); });
     }
 
     auto watch(const std::string& kind, const StoreRevision& revision, Duration wait, Done done) -> void override
     {
-        this->start(std::move(done), [this, kind, revision, wait](auto number) {
+        this->start(std::move(done), wait, [this, kind, revision, wait](auto number) {
             auto found = this->store.changesAfter(kind, revision);
             if (!found.ok() || !found->objects.empty())
                 return this->answer(number, std::move(found));
@@ -240,19 +243,32 @@
     std::uint64_t callsMade = 0;
 
 private:
+    /// Time beyond its wait after which a call without an answer ends.
+    static constexpr auto callTimeout = std::chrono::milliseconds { 1500 };
+
     struct Call {
         Done done;
         std::uint64_t waiter = 0;
     };
 
     /// One-way latency to the store is half of the call time.
-    auto start(Done done, std::function<void(std::uint64_t)> arrive) -> void
+    /// @param wait time that the call asks the store to wait for a change.
+    auto start(Done done, Duration wait, std::function<void(std::uint64_t)> arrive) -> void
     {
         ++this->callsMade;
         if (this->fault == FeedFault::Refused || this->fault == FeedFault::Silent)
             return this->fail(done);
         const auto number = ++this->lastCall;
         this->calls.emplace(number, Call { std::move(done) });
+        this->events.after(wait + callTimeout, [self = this->shared_from_this(), number] {
+            auto call = self->calls.extract(number);
+            if (call.empty())
+                return;
+            self->store.forget(call.mapped().waiter);
+            call.mapped().done(absl::DeadlineExceededError("no response"));
+        });
+        if (this->fault == FeedFault::Unanswered)
+            return;
         this->events.after(this->latency(), [self = this->shared_from_this(), number, arrive = std::move(arrive)] {
             if (self->calls.contains(number))
                 arrive(number);
@@ -262,6 +278,8 @@
     auto answer(std::uint64_t number, absl::StatusOr<ObjectBatch> batch) -> void
     {
         this->store.forget(std::exchange(this->calls.at(number).waiter, 0));
+        if (this->fault == FeedFault::Unanswered)
+            return;
         this->events.after(
             this->latency(), [self = this->shared_from_this(), number, batch = std::move(batch)]() mutable {
                 auto call = self->calls.extract(number);
@@ -272,9 +290,8 @@
 
     auto fail(const Done& done) -> void
     {
-        constexpr auto silenceTimeout = std::chrono::milliseconds { 1500 };
         const auto isSilent = this->fault == FeedFault::Silent;
-        this->events.after(isSilent ? Duration { silenceTimeout } : this->latency(), [done, isSilent] {
+        this->events.after(isSilent ? Duration { callTimeout } : this->latency(), [done, isSilent] {
             done(isSilent ? absl::DeadlineExceededError("no response") : absl::UnavailableError("connection refused"));
         });
     }
