Hosts learn of changes again after the store took watches without answering them

Cause: a watch asks the store to wait up to 18 s. A change ends the pending watches of all hosts at once, and 0.15 to 0.3 s later all start new ones. The store fell silent in between, took these and never answered them, also not after it worked again. Connections lived on, and no host made another call, so no host noticed before its watch ended by itself after 19.5 s: no store-lost, no other version to learn from a peer, since all hosts were in the same state.

Ruled out: a configuration that lacks the key (the reproduction has no version in force after the lost watch), and requests that wait while the configuration changes.

Change: a watch is abandoned and followed by a call without wait when it is overdue by 0.4 s, when it has not returned a change that the zone's reader has read, or when the store has been unavailable since it was started. The reader, one host a zone by rendezvous hashing, renews its watches every 1.5 s and announces its last changes to its zone (FeedNotice, now with the revision of the last change). That an abandoned watch fails still shows an outage at once.

Four new tests of ObjectMirror.

--- a/include/citronloft/fleet/discovery.hpp
+++ b/include/citronloft/fleet/discovery.hpp
@@ -78,6 +78,13 @@
     /// each call returns more events.
     auto setReaderCount(std::size_t hosts) -> void;
 
+    /// @brief Sets whether this host is the one of its zone that renews its watches often, and so soon finds out when
+    /// the store does not answer them.
+    auto setIsReader(bool isReader) -> void;
+
+    /// @brief Processes the revisions of changes that the reader of the zone has read.
+    auto expectRevisions(const std::vector<FeedState>& states, TimePoint now) -> void;
+
     /// @return the kinds whose copies are up to date, with their revisions; empty while the store is unavailable.
     [[nodiscard]] auto feedStates() const -> std::vector<FeedState>;
 
@@ -102,7 +109,7 @@
         TimePoint forgetAt;
     };
 
-    [[nodiscard]] auto mirrors() const -> std::array<const ObjectMirror*, 4>;
+    [[nodiscard]] auto mirrors() const -> std::array<ObjectMirror*, 4>;
     auto updateConfig(const ObjectMirror::Objects& objects) -> void;
     auto updateTargets(const ObjectMirror::Objects& objects) -> void;
     auto updateEvacuatedZones(const ObjectMirror::Objects& objects) -> void;
--- a/include/citronloft/fleet/messages.hpp
+++ b/include/citronloft/fleet/messages.hpp
@@ -296,11 +296,17 @@
 struct FeedState {
     /// bucketId() of the kind's name.
     std::uint64_t kind = 0;
+    /// The copy contains all changes up to this revision.
     StoreRevision revision;
+    /// Not lower than the revision of the last change in the copy.
+    StoreRevision changeRevision {};
 
     auto operator==(const FeedState&) const -> bool = default;
 
-    template <typename Archive> auto serialize(Archive& archive) -> void { archive(this->kind, this->revision); }
+    template <typename Archive> auto serialize(Archive& archive) -> void
+    {
+        archive(this->kind, this->revision, this->changeRevision);
+    }
 };
 
 /// @brief Revisions of the copies that a zone's store reader keeps up to date; empty while it has no connection to the
--- a/include/citronloft/fleet/object_mirror.hpp
+++ b/include/citronloft/fleet/object_mirror.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <absl/status/statusor.h>
@@ -70,8 +71,12 @@
     /// Maximum wait of a watch. The store counts every watch as a call, but a watch that outlasts the store's history
     /// (20 s on the platform) ends without a revision to continue from and requires a full list.
     Duration watchWait = std::chrono::seconds { 18 };
-    /// Wait of a watch while the store is unavailable; the shortest wait that a store accepts.
+    /// Wait of a watch that finds out whether the store answers; the shortest wait that a store accepts.
     Duration probeWait = std::chrono::milliseconds { 1 };
+    /// Time after the end of its wait at which a watch counts as lost. A slow store takes some hundred milliseconds.
+    Duration overdueTime = std::chrono::milliseconds { 400 };
+    /// Time after which a watch counts as lost that has not returned a change that another host has read.
+    Duration catchUpTime = std::chrono::milliseconds { 400 };
     /// Initial pause between two watches, so that one call returns several events of a burst.
     Duration pause = std::chrono::milliseconds { 150 };
     /// Maximum pause between two watches; the pause doubles up to it during a burst. It adds about half a second to the
@@ -91,6 +96,10 @@
 
 /// @brief Mirrors the objects of one kind. The revision never decreases; lists older than the copy are discarded. When
 /// the store has been restored from a copy, the objects are listed again.
+///
+/// A store can take a watch and never answer it, for example while it hangs. Such a watch is abandoned, and another one
+/// started, when it is overdue, when another host has read a change that it should have returned, or when the store has
+/// been unavailable since it was started.
 class ObjectMirror : public std::enable_shared_from_this<ObjectMirror> {
 public:
     using Objects = std::map<std::string, MirroredObject>;
@@ -105,6 +114,12 @@
     /// @brief Sets the maximum pause between two watches in a burst.
     auto setMaxPause(Duration pause) -> void { this->option.maxPause = pause; }
 
+    /// @brief Sets the wait of the following watches.
+    auto setWatchWait(Duration wait) -> void { this->option.watchWait = wait; }
+
+    /// @brief Processes the revision of a change that another host has read.
+    auto expectRevision(const StoreRevision& expected, TimePoint now) -> void;
+
     /// @return whether a complete list has been read.
     [[nodiscard]] auto isReady() const -> bool { return this->isListed; }
 
@@ -116,6 +131,9 @@
     /// is needed, or while the store is unavailable.
     [[nodiscard]] auto currentRevision() const -> std::optional<StoreRevision>;
 
+    /// @return a revision that is not lower than that of the last change in the copy.
+    [[nodiscard]] auto changeRevision() const -> const StoreRevision& { return this->lastChangeRevision; }
+
     /// @return the changes after a revision, or all objects if it is the default; OutOfRange if the revision precedes
     /// this copy's history, Unavailable if the copy is not up to date.
     [[nodiscard]] auto changesAfter(const StoreRevision& since) const -> absl::StatusOr<ObjectBatch>;
@@ -123,8 +141,11 @@
 private:
     auto startList(const std::string& after) -> void;
     auto requestList(TimePoint now) -> void;
-    auto updatePause(TimePoint now) -> void;
+    auto updatePause(bool hasEvents, TimePoint now) -> void;
     auto startWatch() -> void;
+    [[nodiscard]] auto lossReason(TimePoint now) const -> std::string_view;
+    auto abandonLostWatch(TimePoint now) -> void;
+    auto finishWatch(std::uint64_t number, absl::StatusOr<ObjectBatch> batch) -> void;
     auto processList(absl::StatusOr<ObjectBatch> batch) -> void;
     auto processEvents(absl::StatusOr<ObjectBatch> batch) -> void;
     auto finishList() -> void;
@@ -160,7 +181,18 @@
     /// When this mirror learned that it needs a list.
     TimePoint listNeededAt {};
     bool isCallPending = false;
+    /// Number of the pending call; the results of earlier calls are ignored.
+    std::uint64_t callNumber = 0;
     TimePoint callStartedAt {};
+    /// When the pending call counts as lost; never, if it ends by itself soon.
+    TimePoint callOverdueAt = TimePoint::max();
+    /// Whether the last watch was lost, so that the next one finds out whether the store answers.
+    bool needsProbe = false;
+    /// Highest revision of a change in the copy, and of one that another host has read.
+    StoreRevision lastChangeRevision;
+    StoreRevision expectedRevision;
+    /// When the pending watch counts as lost unless the copy has reached `expectedRevision`.
+    TimePoint catchUpBy = TimePoint::max();
     TimePoint nextCallAt {};
     /// Pause after the current watch.
     Duration nextPause {};
--- a/include/citronloft/fleet/zone_feed.hpp
+++ b/include/citronloft/fleet/zone_feed.hpp
@@ -27,7 +27,7 @@
 
 /// @brief Intervals and time-outs of a ZoneFeed.
 struct ZoneFeedOption {
-    /// Maximum interval between two notices of a reader.
+    /// Maximum interval between two notices of a reader; a change is announced at once.
     Duration noticeInterval = std::chrono::milliseconds { 250 };
     /// Time without a notice after which the reader is no longer relied on; three lost notices. Together with the store
     /// call that follows, it takes less than half of the shortest bound on withdrawals (2.5 s).
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -28,6 +28,8 @@
 /// False: every host watches the store itself. Reading through one host per zone stays disabled until the second entry
 /// of KNOWN-RED.txt is fixed.
 constexpr auto usesZoneReaders = false;
+/// Interval at which a zone's reader repeats what it has announced, since notices can be lost.
+constexpr auto changeNoticeInterval = std::chrono::milliseconds { 1000 };
 constexpr auto exitClean = 0;
 constexpr auto exitFailed = 1;
 constexpr auto exitNotDrained = 3;
@@ -166,24 +168,32 @@
     this->registry
         = std::make_shared<HostRegistry>(RegisteredHost { this->settings.zone, this->settings.ip }, this->clock,
             this->platform.store, randomId(), [this](const auto& hosts) { this->fleet->updateRegisteredHosts(hosts); });
-    this->zoneFeed = std::make_shared<ZoneFeed>(ZoneFeedOption {}, this->clock, this->platform.feed,
-        makeFeedFetcher(this->context, this->settings.fleetSecret));
+    auto feedOption = ZoneFeedOption {};
+    if (!usesZoneReaders)
+        feedOption.noticeInterval = changeNoticeInterval;
+    this->zoneFeed = std::make_shared<ZoneFeed>(
+        feedOption, this->clock, this->platform.feed, makeFeedFetcher(this->context, this->settings.fleetSecret));
     this->fleet->onFeedNotice([this](const Address& from, const FeedNotice& notice) {
-        this->zoneFeed->processNotice(from, notice, this->clock.now());
+        if (usesZoneReaders)
+            this->zoneFeed->processNotice(from, notice, this->clock.now());
+        else
+            this->discovery->expectRevisions(notice.states, this->clock.now());
     });
     this->discovery = std::make_unique<Discovery>(
         this->clock, this->metrics, this->zoneFeed, this->platform.decoder, randomId(), std::move(listener));
 }
 
 /// Follows the store directly or, with zone readers, through the reader of the zone. The reader announces its copies to
-/// its zone.
+/// its zone, so that the other hosts notice changes that their own watches have missed.
 auto Host::tickDiscovery(TimePoint now) -> void
 {
-    this->zoneFeed->tick(!usesZoneReaders || this->fleet->isStoreReader(), now);
+    const auto isReader = this->fleet->isStoreReader();
+    this->zoneFeed->tick(!usesZoneReaders || isReader, now);
+    this->discovery->setIsReader(isReader);
     const auto hosts = this->fleet->recentMaxHostCount();
     this->discovery->setReaderCount(usesZoneReaders ? hosts / this->fleet->zoneHostCount() : hosts);
     this->discovery->tick(now);
-    if (!usesZoneReaders)
+    if (!isReader)
         return;
     if (auto notice = this->zoneFeed->takeDueNotice(this->discovery->feedStates(), now))
         this->fleet->sendFeedNotice(*std::move(notice));
--- a/src/citronloft/fleet/discovery.cpp
+++ b/src/citronloft/fleet/discovery.cpp
@@ -15,6 +15,9 @@
 constexpr auto minBurstPause = std::chrono::milliseconds { 600 };
 /// Half of the shortest time in which a leaving target must be out of use (2.5 s).
 constexpr auto maxBurstPause = std::chrono::milliseconds { 1200 };
+/// Wait of the watches of a zone's reader. With the time after which they count as lost, and that in which the other
+/// hosts catch up, it stays below the shortest bound on changes (2.5 s).
+constexpr auto readerWatchWait = std::chrono::milliseconds { 1500 };
 /// Pause before the first call after the store became unavailable.
 constexpr auto minStoreBackoff = std::chrono::milliseconds { 400 };
 /// Maximum age of a copy from which the store is restored.
@@ -80,7 +83,23 @@
     this->targets->setMaxPause(std::clamp<Duration>(pause, minBurstPause, maxBurstPause));
 }
 
-auto Discovery::mirrors() const -> std::array<const ObjectMirror*, 4>
+auto Discovery::setIsReader(bool isReader) -> void
+{
+    const auto wait = isReader ? Duration { readerWatchWait } : ObjectMirrorOption {}.watchWait;
+    for (auto* mirror : this->mirrors())
+        mirror->setWatchWait(wait);
+}
+
+auto Discovery::expectRevisions(const std::vector<FeedState>& states, TimePoint now) -> void
+{
+    for (auto* mirror : this->mirrors()) {
+        const auto state = std::ranges::find(states, bucketId(mirror->kind()), &FeedState::kind);
+        if (state != states.end())
+            mirror->expectRevision(state->changeRevision, now);
+    }
+}
+
+auto Discovery::mirrors() const -> std::array<ObjectMirror*, 4>
 {
     return { this->configs.get(), this->targets.get(), this->evacuations.get(), this->quarantines.get() };
 }
@@ -90,7 +109,7 @@
     auto states = std::vector<FeedState> {};
     for (const auto* mirror : this->mirrors()) {
         if (const auto revision = mirror->currentRevision())
-            states.push_back({ bucketId(mirror->kind()), *revision });
+            states.push_back({ bucketId(mirror->kind()), *revision, mirror->changeRevision() });
     }
     return states;
 }
--- a/src/citronloft/fleet/object_mirror.cpp
+++ b/src/citronloft/fleet/object_mirror.cpp
@@ -1,6 +1,7 @@
 #include "citronloft/fleet/object_mirror.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "citronloft/base/log.hpp"
 
@@ -33,6 +34,7 @@
     });
     if (expiredCount > 0)
         this->onChanged(this->mirrored);
+    this->abandonLostWatch(now);
     if (this->isCallPending || now < this->nextCallAt || !this->storeBackoff->tryStart(now))
         return;
     if (this->needsList)
@@ -45,6 +47,8 @@
 {
     this->isCallPending = true;
     this->callStartedAt = this->clock.now();
+    this->callOverdueAt = TimePoint::max();
+    ++this->callNumber;
     if (after.empty())
         this->listed.clear();
     this->feed->list(this->option.kind, after, [self = this->shared_from_this()](auto batch) {
@@ -63,13 +67,69 @@
 auto ObjectMirror::startWatch() -> void
 {
     this->isCallPending = true;
-    this->callStartedAt = this->clock.now();
+    const auto now = this->clock.now();
+    this->callStartedAt = now;
     // While the store is unavailable, one call probes it and blocks all others, so it must not wait for an event.
-    const auto wait = this->storeBackoff->isUnavailable() ? this->option.probeWait : this->option.watchWait;
-    this->feed->watch(this->option.kind, this->revision, wait, [self = this->shared_from_this()](auto batch) {
-        self->isCallPending = false;
-        self->processEvents(std::move(batch));
-    });
+    const auto isProbe = this->storeBackoff->isUnavailable() || std::exchange(this->needsProbe, false);
+    const auto wait = isProbe ? this->option.probeWait : this->option.watchWait;
+    this->callOverdueAt = isProbe ? TimePoint::max() : now + wait + this->option.overdueTime;
+    if (this->expectedRevision > this->revision)
+        this->catchUpBy = now + this->option.catchUpTime;
+    const auto number = ++this->callNumber;
+    this->feed->watch(this->option.kind, this->revision, wait,
+        [self = this->shared_from_this(), number](auto batch) { self->finishWatch(number, std::move(batch)); });
+}
+
+auto ObjectMirror::finishWatch(std::uint64_t number, absl::StatusOr<ObjectBatch> batch) -> void
+{
+    if (number == this->callNumber) {
+        this->isCallPending = false;
+        this->processEvents(std::move(batch));
+        return;
+    }
+    // The failure of an abandoned watch is the first sign that the store is unavailable if its successor is pending.
+    if (!batch.ok() && number + 1 == this->callNumber && this->isCallPending)
+        this->recordFailure(batch.status());
+}
+
+auto ObjectMirror::expectRevision(const StoreRevision& expected, TimePoint now) -> void
+{
+    if (expected <= this->expectedRevision)
+        return;
+    if (this->expectedRevision <= this->revision)
+        this->catchUpBy = now + this->option.catchUpTime;
+    this->expectedRevision = expected;
+}
+
+/// @return why the pending watch counts as lost; empty if it does not. Calls made while the store is unavailable end by
+/// themselves, and the store's recovery depends on their results.
+auto ObjectMirror::lossReason(TimePoint now) const -> std::string_view
+{
+    if (!this->isCallPending || this->callOverdueAt == TimePoint::max() || this->storeBackoff->isUnavailable())
+        return {};
+    if (now >= this->callOverdueAt)
+        return "overdue";
+    if (this->storeBackoff->recoveredAt() > this->callStartedAt)
+        return "store-recovered";
+    if (this->expectedRevision > this->revision && now >= this->catchUpBy)
+        return "change-missed";
+    return {};
+}
+
+auto ObjectMirror::abandonLostWatch(TimePoint now) -> void
+{
+    const auto reason = this->lossReason(now);
+    if (reason.empty())
+        return;
+    LogEvent(LogLevel::Info, "watch-lost")
+        .with("kind", this->option.kind)
+        .with("reason", reason)
+        .with("waited_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - this->callStartedAt).count())
+        .with("revision", formatRevision(this->revision))
+        .with("expected_revision", formatRevision(this->expectedRevision));
+    this->isCallPending = false;
+    this->needsProbe = true;
+    this->nextCallAt = now;
 }
 
 auto ObjectMirror::processList(absl::StatusOr<ObjectBatch> batch) -> void
@@ -131,6 +191,7 @@
     this->removeOrRetain(missing, isRestored, now);
     this->listed.clear();
     this->revision = this->listRevision;
+    this->lastChangeRevision = this->listRevision;
     this->needsList = false;
     this->isListed = true;
     this->nextCallAt = now;
@@ -163,6 +224,9 @@
     auto hasChanged = false;
     auto deleted = std::vector<std::string> {};
     for (auto& object : batch->objects) {
+        // An event of a deletion may state the revision of the object before it.
+        const auto changedAt = object.isDeleted ? batch->revision : object.revision;
+        this->lastChangeRevision = std::max(this->lastChangeRevision, changedAt);
         const auto old = this->mirrored.find(object.name);
         if (old != this->mirrored.end() && object.revision < old->second.revision)
             continue;
@@ -178,7 +242,7 @@
     }
     hasChanged = this->removeOrRetain(deleted, false, now) || hasChanged;
     this->revision = std::max(this->revision, batch->revision);
-    this->updatePause(now);
+    this->updatePause(!batch->objects.empty(), now);
     this->nextCallAt = now + (batch->isRelayed ? Duration {} : this->nextPause);
     if (hasChanged)
         this->onChanged(this->mirrored);
@@ -229,10 +293,11 @@
     return batch;
 }
 
-/// Doubles the pause up to its maximum while watches end early, as they do in a burst, and resets it otherwise.
-auto ObjectMirror::updatePause(TimePoint now) -> void
+/// Doubles the pause up to its maximum while watches end early with events, as they do in a burst, and resets it
+/// otherwise.
+auto ObjectMirror::updatePause(bool hasEvents, TimePoint now) -> void
 {
-    const auto isBurst = now - this->callStartedAt < this->option.burstEndWait;
+    const auto isBurst = hasEvents && now - this->callStartedAt < this->option.burstEndWait;
     this->nextPause
         = isBurst ? std::clamp(this->nextPause * 2, this->option.pause, this->option.maxPause) : this->option.pause;
 }
--- a/src/citronloft/fleet/object_mirror_test.cpp
+++ b/src/citronloft/fleet/object_mirror_test.cpp
@@ -135,6 +135,66 @@
     EXPECT_LT(this->feed->calls.back().wait, history);
 }
 
+/// Guards against hosts that wait for the end of a watch that the store has never answered.
+TEST_F(ObjectMirrorTest, OverdueWatchIsFollowedByProbe)
+{
+    this->startWithList({ { "a", at(1), "", false } }, 1);
+    const auto lost = this->feed->calls.back();
+    this->tickFor(lost.wait + 300ms);
+    EXPECT_EQ(this->feed->calls.size(), 1U);
+    this->tickFor(200ms);
+    ASSERT_EQ(this->feed->calls.size(), 2U);
+    EXPECT_EQ(this->feed->calls.back().wait, 1ms);
+    EXPECT_EQ(this->feed->calls.back().revision, at(1));
+    this->feed->answer(ObjectBatch { { { "b", at(4), "", false } }, false, at(4) });
+    EXPECT_THAT(this->names(), ElementsAre("a", "b"));
+    lost.done(ObjectBatch { { { "a", at(2), "", true } }, false, at(2) });
+    EXPECT_THAT(this->names(), ElementsAre("a", "b")) << "the answer of the abandoned watch is out of date";
+}
+
+TEST_F(ObjectMirrorTest, WatchThatMissedAChangeIsFollowedByProbe)
+{
+    this->startWithList({ { "a", at(1), "", false } }, 3);
+    this->mirror->expectRevision(at(3), this->clock.now());
+    this->tickFor(2s);
+    EXPECT_EQ(this->feed->calls.size(), 1U) << "the copy contains the change";
+    this->mirror->expectRevision(at(7), this->clock.now());
+    this->tickFor(300ms);
+    EXPECT_EQ(this->feed->calls.size(), 1U) << "the answer may be on its way";
+    this->tickFor(200ms);
+    ASSERT_EQ(this->feed->calls.size(), 2U);
+    EXPECT_EQ(this->feed->calls.back().wait, 1ms);
+    this->feed->answer(ObjectBatch { { { "b", at(7), "", false } }, false, at(9) });
+    this->tickFor(2s);
+    EXPECT_EQ(this->feed->calls.size(), 2U) << "the lost watch and one that goes on";
+    EXPECT_GT(this->feed->calls.back().wait, 1s);
+    EXPECT_EQ(this->feed->calls.back().revision, at(9));
+}
+
+TEST_F(ObjectMirrorTest, WatchFromBeforeAnOutageIsFollowedByProbe)
+{
+    this->startWithList({ { "a", at(1), "", false } }, 1);
+    this->storeBackoff->recordFailure(absl::DeadlineExceededError("no response"), this->clock.now());
+    this->tickFor(1s);
+    EXPECT_EQ(this->feed->calls.size(), 1U) << "another mirror finds out whether the store answers";
+    this->storeBackoff->recordSuccess(this->clock.now());
+    this->tickFor(50ms);
+    ASSERT_EQ(this->feed->calls.size(), 2U);
+    EXPECT_EQ(this->feed->calls.back().wait, 1ms);
+}
+
+/// Guards against an outage that is noticed late, since the call that showed it had been abandoned.
+TEST_F(ObjectMirrorTest, FailureOfAbandonedWatchShowsOutage)
+{
+    this->startWithList({ { "a", at(1), "", false } }, 1);
+    const auto abandoned = this->feed->calls.back();
+    this->tickFor(abandoned.wait + 500ms);
+    ASSERT_EQ(this->feed->calls.size(), 2U);
+    abandoned.done(absl::DeadlineExceededError("no response"));
+    EXPECT_TRUE(this->storeBackoff->isUnavailable());
+    EXPECT_FALSE(this->mirror->currentRevision());
+}
+
 /// Guards against a probe that blocks all mirrors after an outage: it waited 30 s for an event of its kind, and no
 /// other mirror could call meanwhile. Found by the withdrawal campaign.
 TEST_F(ObjectMirrorTest, ProbeAfterOutageDoesNotWaitForEvents)
--- a/src/citronloft/fleet/withdrawal_bound_test.cpp
+++ b/src/citronloft/fleet/withdrawal_bound_test.cpp
@@ -183,8 +183,10 @@
         const auto now = this->events.now();
         auto& host = *this->simulatedHosts[index];
         host.zoneFeed->tick(this->readsDirectly || this->isZoneReader(index), now);
+        const auto isReader = this->isZoneReader(index);
+        host.discovery->setIsReader(isReader);
         host.discovery->tick(now);
-        if (this->readsDirectly)
+        if (!isReader)
             return;
         const auto notice = host.zoneFeed->takeDueNotice(host.discovery->feedStates(), now);
         if (!notice || host.losesSentMessages)
@@ -193,10 +195,18 @@
             const auto isReceiver = peer != index && peer / hostsPerZone == index / hostsPerZone
                 && !this->simulatedHosts[peer]->losesReceivedMessages && !this->simulatedHosts[peer]->isPaused;
             if (isReceiver)
-                this->simulatedHosts[peer]->zoneFeed->processNotice(VirtualPeers::addressOf(index), *notice, now);
+                this->processNotice(*this->simulatedHosts[peer], VirtualPeers::addressOf(index), *notice);
         }
     }
 
+    auto processNotice(SimulatedHost& host, const Address& reader, const FeedNotice& notice) -> void
+    {
+        if (this->readsDirectly)
+            host.discovery->expectRevisions(notice.states, this->events.now());
+        else
+            host.zoneFeed->processNotice(reader, notice, this->events.now());
+    }
+
     /// @return whether the host is the first of its zone that membership considers live. A host that receives no
     /// messages becomes a reader itself.
     [[nodiscard]] auto isZoneReader(std::size_t index) const -> bool
