The HTTP client of a host can be replaced; a fake whose connections are cut

Tests of hosts that reach no targets need connections that hang, are reset, or live on while new ones are refused. All hosts and targets of a test share one loopback network, so the cut is made at the interface of the client: CutHttpClient passes exchanges on, except those with the addresses that are cut off.

No behaviour changes: without a client in GatewayOption the gateway creates its own, as before.

--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -36,6 +36,8 @@
     /// Wire format of callers and targets; null selects the default dialect.
     std::shared_ptr<const Dialect> dialect;
     HttpClientOption client;
+    /// Client for requests to targets and other hosts; null creates one with the options in `client`.
+    std::shared_ptr<HttpClient> httpClient;
     /// Whether targets of all zones are found by discovery and requests are sent to them directly. If so, no request is
     /// forwarded to another host.
     bool discoversTargets = false;
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -123,6 +123,7 @@
     auto option = GatewayOption {};
     option.zone = this->settings.zone;
     option.fleetSecret = this->settings.fleetSecret;
+    option.httpClient = this->httpClient;
     option.queue = this->settings.queue == "fifo" ? QueueStrategy::Fifo : QueueStrategy::Fair;
     if (!this->usesAdapter())
         return option;
--- a/programs/citronloftd/host.hpp
+++ b/programs/citronloftd/host.hpp
@@ -29,6 +29,9 @@
     Host(const Host&) = delete;
     auto operator=(const Host&) -> Host& = delete;
 
+    /// @brief Replaces the client for requests to targets and other hosts; to be called before start().
+    auto useHttpClient(std::shared_ptr<HttpClient> client) -> void { this->httpClient = std::move(client); }
+
     /// @brief Opens all sockets and starts all components.
     auto start() -> absl::Status;
 
@@ -77,6 +80,7 @@
     std::shared_ptr<UdpTransport> transport;
     std::unique_ptr<FleetHost> fleet;
     std::unique_ptr<Gateway> gateway;
+    std::shared_ptr<HttpClient> httpClient;
     std::shared_ptr<HttpServer> service;
     TimePoint nextRetryUpdateAt {};
     std::unique_ptr<Supervisor> supervisor;
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -75,7 +75,7 @@
     , dialect(this->option.dialect ? this->option.dialect : std::shared_ptr<const Dialect>(makeDefaultDialect()))
     , lookup(fleet.membership(), *dialect, this->option.zone)
     , random(randomId())
-    , client(makeHttpClient(context, clock, this->option.client))
+    , client(this->option.httpClient ? this->option.httpClient : makeHttpClient(context, clock, this->option.client))
     , prober(clock, client)
     , spillRouter(clock, metrics, fleet, client, *dialect,
           { .zone = this->option.zone,
--- /dev/null
+++ b/tests/fakes/cut_http_client.hpp
@@ -0,0 +1,95 @@
+/// @file
+/// @brief HTTP client whose connections to some addresses can be cut.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "citronloft/edge/http_client.hpp"
+
+namespace citronloft {
+
+/// @brief What a cut does to connections.
+enum class ConnectionCut : std::uint8_t {
+    None,
+    /// New connections are not established in time, and requests on open ones are lost after a second.
+    Hang,
+    /// New connections are refused, and open ones are reset.
+    Reset,
+    /// New connections are refused, while open ones are not affected.
+    RefuseNew,
+};
+
+/// @brief Passes exchanges on to another client, except those with addresses that are cut off.
+class CutHttpClient final : public HttpClient {
+public:
+    CutHttpClient(boost::asio::io_context& context, const Clock& clock, std::shared_ptr<HttpClient> client)
+        : context(context)
+        , clock(clock)
+        , client(std::move(client))
+    {
+    }
+
+    auto exchange(const Address& address, const HttpRequest& request, const ExchangeOption& option,
+        boost::asio::yield_context yield) -> Exchange override
+    {
+        const auto hasConnection = this->client->openConnections(address) > 0;
+        const auto isCut = this->cut != ConnectionCut::None && this->cutAddresses.contains(address);
+        if (!isCut || (this->cut == ConnectionCut::RefuseNew && hasConnection)) {
+            auto result = this->client->exchange(address, request, option, yield);
+            // Answers that arrive after the start of the cut are lost with their connections.
+            const auto isLost = this->cutAddresses.contains(address)
+                && (this->cut == ConnectionCut::Hang || this->cut == ConnectionCut::Reset);
+            return isLost ? Exchange { ExchangeError::ConnectionLost, {}, true, result.reused } : result;
+        }
+        ++this->cutExchanges;
+        if (this->cut == ConnectionCut::Hang)
+            this->waitUntil(std::min(option.deadline, this->clock.now() + hangTime(hasConnection)), yield);
+        if (hasConnection)
+            this->client->closeIdle(address);
+        return hasConnection ? Exchange { ExchangeError::ConnectionLost, {}, true, true }
+                             : Exchange { errorOfNew(this->cut), {}, false, false };
+    }
+
+    auto closeIdle(const Address& address) -> void override { this->client->closeIdle(address); }
+
+    [[nodiscard]] auto openConnections(const Address& address) const -> std::size_t override
+    {
+        return this->client->openConnections(address);
+    }
+
+    std::set<Address> cutAddresses;
+    ConnectionCut cut = ConnectionCut::None;
+    /// Exchanges that failed because of the cut.
+    int cutExchanges = 0;
+
+private:
+    /// Timeouts of connections to targets: without an acknowledgement, and until they are established.
+    static auto hangTime(bool isOpen) -> Duration
+    {
+        return isOpen ? std::chrono::milliseconds { 1000 } : std::chrono::milliseconds { 400 };
+    }
+
+    static auto errorOfNew(ConnectionCut cut) -> ExchangeError
+    {
+        return cut == ConnectionCut::Hang ? ExchangeError::ConnectTimeout : ExchangeError::ConnectFailed;
+    }
+
+    auto waitUntil(TimePoint end, boost::asio::yield_context yield) -> void
+    {
+        auto error = boost::system::error_code {};
+        auto timer = boost::asio::steady_timer(this->context, end - this->clock.now());
+        timer.async_wait(yield[error]);
+    }
+
+    boost::asio::io_context& context;
+    const Clock& clock;
+    std::shared_ptr<HttpClient> client;
+};
+
+} // namespace citronloft
