The gateway is told whether its host reaches targets

Interface for two parts that are built beside each other: finding out whether this host reaches targets, and serving through other hosts while it does not. Nothing uses it yet; no behaviour changes.

--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -87,6 +87,9 @@
     /// @brief Updates the limits of targets from the observations of other hosts.
     auto mergeLimits(const std::vector<LimitObservation>& observations) -> void;
 
+    /// @brief Sets whether this host reaches targets at all.
+    auto setReachesTargets(bool reaches) -> void { this->reachesTargets = reaches; }
+
     /// @brief Handles one request.
     auto handle(HttpRequest& request, CallerContext& caller, boost::asio::yield_context yield) -> HttpResponse;
 
@@ -186,6 +189,7 @@
     std::shared_ptr<const ConfigSnapshot> snapshot;
     std::map<std::string, std::unique_ptr<PoolAdmission>> admissions;
     std::size_t inFlightRequests = 0;
+    bool reachesTargets = true;
     TimePoint lastRequestTime {};
 };
 
