--- a/include/citronloft/policy/request_quarantine.hpp
+++ b/include/citronloft/policy/request_quarantine.hpp
@@ -63,7 +63,8 @@
 
     /// @return whether a lost request can be sent to another target at once. It cannot if one more loss would put it
     /// into quarantine.
-    [[nodiscard]] auto allowsRetry(std::uint64_t request) const -> bool;
+    /// @param unreportedLosses losses of the request that record() does not know yet.
+    [[nodiscard]] auto allowsRetry(std::uint64_t request, unsigned unreportedLosses = 0) const -> bool;
 
     /// @return whether no request is suspected or in quarantine.
     [[nodiscard]] auto isEmpty() const -> bool { return this->requests.empty(); }
--- a/include/citronloft/policy/target_pool.hpp
+++ b/include/citronloft/policy/target_pool.hpp
@@ -70,7 +70,7 @@
     Shed,
     /// The answer was incomplete, or its status was 5xx.
     Failed,
-    /// The caller disconnected; has no effect on the target's health.
+    /// The caller disconnected, or this host reached no target; has no effect on the target's health.
     Abandoned,
     /// No connection could be opened in time.
     Unreachable,
@@ -175,6 +175,10 @@
     /// @return limit in requests per second that a target announces; nothing if there is none.
     [[nodiscard]] auto announcedLimit(const std::string& key) const -> std::optional<double>;
 
+    /// @brief Takes back the ejections since a time, and the failures that are not yet one, since they were failures of
+    /// this host's path to all targets.
+    auto revokeEjections(TimePoint since) -> void;
+
     /// @brief Records the result of a probe.
     auto recordProbe(const std::string& key, bool ok, TimePoint now) -> void;
 
@@ -223,6 +227,8 @@
         /// Factor on the limit; reduced by each shed request, restored gradually by answers.
         double shedFactor = 1;
         TimePoint rampStartedAt {};
+        TimePoint failedAt {};
+        TimePoint ejectedAt {};
         TimePoint ejectedUntil {};
         TimePoint shedAt {};
         TimePoint reportedAt {};
--- a/src/citronloft/policy/request_quarantine.cpp
+++ b/src/citronloft/policy/request_quarantine.cpp
@@ -83,11 +83,13 @@
     return found != this->requests.end() && (!found->second.losses.empty() || found->second.quarantinedUntil);
 }
 
-auto RequestQuarantine::allowsRetry(std::uint64_t request) const -> bool
+auto RequestQuarantine::allowsRetry(std::uint64_t request, unsigned unreportedLosses) const -> bool
 {
     const auto found = this->requests.find(request);
-    return found == this->requests.end()
-        || (!found->second.quarantinedUntil && this->countLosses(found->second) + 1 < this->option.losses);
+    if (found == this->requests.end())
+        return unreportedLosses + 1 < this->option.losses;
+    const auto losses = this->countLosses(found->second) + unreportedLosses;
+    return !found->second.quarantinedUntil && losses + 1 < this->option.losses;
 }
 
 auto RequestQuarantine::quarantinedCount(TimePoint now) const -> std::size_t
--- a/src/citronloft/policy/request_quarantine_test.cpp
+++ b/src/citronloft/policy/request_quarantine_test.cpp
@@ -49,6 +49,14 @@
     EXPECT_FALSE(this->quarantine.isQuarantined(8, this->now));
 }
 
+TEST_F(RequestQuarantineTest, LossThatIsNotYetReportedCountsForRetries)
+{
+    EXPECT_TRUE(this->quarantine.allowsRetry(7, 1));
+    this->lose(7, 1);
+    EXPECT_TRUE(this->quarantine.allowsRetry(7));
+    EXPECT_FALSE(this->quarantine.allowsRetry(7, 1)) << "the next loss would be the third";
+}
+
 /// Load pattern: a popular request is at a target at each of many crashes.
 TEST_F(RequestQuarantineTest, RequestThatIsAnsweredElsewhereIsNeverQuarantined)
 {
--- a/src/citronloft/policy/target_pool.cpp
+++ b/src/citronloft/policy/target_pool.cpp
@@ -340,6 +340,7 @@
 auto TargetPool::recordFailure(Member& member, unsigned weight, TimePoint now) -> void
 {
     member.failures += weight;
+    member.failedAt = now;
     const auto isExcluded
         = member.health->state() == TargetState::Ejected || member.health->state() == TargetState::Draining;
     if (isExcluded || member.failures < this->option.failuresToEject || !this->canEject())
@@ -347,6 +348,7 @@
     member.health->process(TargetEvent::Failed);
     member.failures = 0;
     const auto factor = 1U << std::min(member.ejections++, 4U);
+    member.ejectedAt = now;
     member.ejectedUntil = now + std::min(this->option.baseEjection * factor, this->option.maxEjection);
 }
 
--- a/src/citronloft/policy/target_pool_test.cpp
+++ b/src/citronloft/policy/target_pool_test.cpp
@@ -85,6 +85,36 @@
     EXPECT_EQ(usable, 2);
 }
 
+/// Guards against targets that stay out of use after a cut of this host's path to all of them.
+TEST_F(TargetPoolTest, RevokedEjectionsLeaveTargetsAsTheyWere)
+{
+    this->setTargets(4);
+    const auto failsAtFirst
+        = [](const auto& target) { return target == "t0" ? TargetResult::Failed : TargetResult::Answered; };
+    this->run(1000, failsAtFirst);
+    ASSERT_EQ(this->stateOf("t0"), TargetState::Ejected);
+    const auto cutAt = this->now;
+    const auto healthy = this->pool.totalSlots(this->now);
+    this->run(1, [](const auto&) { return TargetResult::Unreachable; });
+    ASSERT_LT(this->pool.totalSlots(this->now), healthy);
+    this->pool.revokeEjections(cutAt);
+    EXPECT_EQ(this->stateOf("t0"), TargetState::Ejected) << "ejected before the cut";
+    const auto runs = this->run(100, [](const auto&) { return TargetResult::Answered; });
+    EXPECT_EQ(runs.size(), 3U);
+    EXPECT_EQ(this->pool.totalSlots(this->now), healthy);
+}
+
+TEST_F(TargetPoolTest, RevokedFailuresDoNotCountTowardsNextEjection)
+{
+    this->setTargets(2);
+    const auto cutAt = this->now;
+    this->run(4, [](const auto&) { return TargetResult::Failed; });
+    this->pool.revokeEjections(cutAt);
+    const auto runs = this->run(2, [](const auto&) { return TargetResult::Failed; });
+    for (const auto& [target, count] : runs)
+        EXPECT_NE(this->stateOf(target), TargetState::Ejected);
+}
+
 TEST_F(TargetPoolTest, SheddingTargetThatReportsNoLoadIsAvoided)
 {
     this->setTargets(2);
