A host notices that it reaches no targets, and charges nobody for it

Cause: the host knew of single targets only.

Change: TargetPathMonitor feeds TargetReachability from the exchanges with targets and sends its connection probes (HttpClient::connect(), at most four at a time, from the gateway's tick). What fails meanwhile counts against no target; losses of requests are held until the state of the path is known, and QuarantineService::recordLoss() takes the time of the loss. Status: target_path; metric: citronloft_connection_probes_total. Only with discovery: hosts of adapter "objects" work as before. An exchange that failed because of the connection limit says so (Exchange::limited), since it is no sign of the path.

Ruled out: probes while requests are answered, since each connection costs the target time (HostWhoseRequestsAreAnsweredSendsNoProbes).

Evidence: platform_test, 42 tests, passed; the new ones and RequestThatCrashesServersIsNotSentOn five times in a row, 35 of 35.

Existing tests: crashing_request_bound_test.cpp passes the time of the loss, which is the time that recordLoss() took before; CutHttpClient has connect(); HostTest::startHost() uses the cut client if a test has made one. No check was changed.

--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -20,6 +20,7 @@
 #include "citronloft/edge/pool_admission.hpp"
 #include "citronloft/edge/response_field_log.hpp"
 #include "citronloft/edge/spill_router.hpp"
+#include "citronloft/edge/target_path_monitor.hpp"
 #include "citronloft/edge/target_prober.hpp"
 #include "citronloft/fleet/discovery.hpp"
 #include "citronloft/fleet/fleet_host.hpp"
@@ -111,6 +112,12 @@
     /// @return the number of requests being handled.
     [[nodiscard]] auto inFlight() const -> std::size_t { return this->inFlightRequests; }
 
+    /// @return what this host knows of its path to the targets.
+    [[nodiscard]] auto pathState() const -> PathState
+    {
+        return this->pathMonitor ? this->pathMonitor->state() : PathState::Reached;
+    }
+
     /// @return the admission state of each pool by pool name, for status pages.
     [[nodiscard]] auto pools() const -> const std::map<std::string, std::unique_ptr<PoolAdmission>>&
     {
@@ -144,7 +151,15 @@
     auto admitRate(const Call& call, boost::asio::yield_context yield) -> RateDecision;
     [[nodiscard]] auto isStillAuthorized(const Call& call) const -> bool;
     [[nodiscard]] auto isQuarantined(Call& call) const -> bool;
-    auto recordOutcome(Call& call, ResultCode code, const std::string& target) -> void;
+    auto recordOutcome(Call& call, ResultCode code, const std::string& target, TimePoint startedAt) -> void;
+    auto exchangeWithTarget(const std::string& target, const Address& address, const HttpRequest& request,
+        const ExchangeOption& exchangeOption, boost::asio::yield_context yield) -> Exchange;
+    auto recordLoss(std::uint64_t request, const std::string& target, TimePoint startedAt) -> void;
+    auto recordAnswer(std::uint64_t request) -> void;
+    [[nodiscard]] auto allowsRetry(const Call& call, ResultCode code) const -> bool;
+    [[nodiscard]] auto healthResultOf(ResultCode code, const HttpResponse& response, TimePoint startedAt) const
+        -> TargetResult;
+    auto tickPath() -> void;
     auto claimIdempotencyKey(const Call& call, boost::asio::yield_context yield) -> std::optional<ClaimResult>;
     auto claimAndRun(Call& call, boost::asio::yield_context yield) -> CallResult;
     auto runAttempts(Call& call, boost::asio::yield_context yield) -> CallResult;
@@ -185,6 +200,8 @@
     TimePoint nextLoadPublishAt {};
     std::shared_ptr<HttpClient> client;
     TargetProber prober;
+    /// Null if targets are not found by discovery.
+    std::shared_ptr<TargetPathMonitor> pathMonitor;
     SpillRouter spillRouter;
     std::shared_ptr<const ConfigSnapshot> snapshot;
     std::map<std::string, std::unique_ptr<PoolAdmission>> admissions;
--- a/include/citronloft/edge/http_client.hpp
+++ b/include/citronloft/edge/http_client.hpp
@@ -42,6 +42,8 @@
     bool sent = false;
     /// Whether the request was sent on a pooled connection.
     bool reused = false;
+    /// Whether the connection limit was reached, so that the address was not contacted.
+    bool limited = false;
 };
 
 /// @brief Cancels the exchange that it is passed to; must outlive the exchange.
@@ -97,6 +99,11 @@
     virtual auto exchange(const Address& address, const HttpRequest& request, const ExchangeOption& option,
         boost::asio::yield_context yield) -> Exchange = 0;
 
+    /// @brief Opens a connection and closes it without having sent anything. It counts towards no limit.
+    /// @param deadline the connect timeout of the client's options applies as well.
+    /// @return whether the connection was opened in time.
+    virtual auto connect(const Address& address, TimePoint deadline, boost::asio::yield_context yield) -> bool = 0;
+
     /// @brief Closes every idle connection to `address`.
     virtual auto closeIdle(const Address& address) -> void = 0;
 
--- /dev/null
+++ b/include/citronloft/edge/target_path_monitor.hpp
@@ -0,0 +1,79 @@
+/// @file
+/// @brief Watches whether this host reaches targets, by its requests and by connection probes.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+
+#include "citronloft/base/metrics.hpp"
+#include "citronloft/edge/http_client.hpp"
+#include "citronloft/policy/held_losses.hpp"
+#include "citronloft/policy/live_target.hpp"
+#include "citronloft/policy/target_reachability.hpp"
+
+namespace citronloft {
+
+/// @brief What TargetPathMonitor::tick() has found.
+struct PathUpdate {
+    std::optional<PathChange> change;
+    /// Losses of requests that were not losses of the path.
+    std::vector<HeldLoss> confirmedLosses;
+};
+
+/// @brief Feeds TargetReachability from exchanges, sends its connection probes, and holds losses back until the state
+/// of the path is known.
+class TargetPathMonitor : public std::enable_shared_from_this<TargetPathMonitor> {
+public:
+    TargetPathMonitor(
+        boost::asio::io_context& context, const Clock& clock, Metrics& metrics, std::shared_ptr<HttpClient> client);
+
+    /// @brief Replaces the targets of a pool.
+    auto setTargets(const std::string& pool, const std::vector<LiveTarget>& targets, std::string_view ownZone) -> void;
+
+    /// @brief Records the start of an exchange with a target.
+    auto recordStart() -> void { this->path.recordStart(this->clock.now()); }
+
+    /// @brief Records the end of an exchange with a target.
+    /// @param target key of the target.
+    auto recordEnd(const std::string& target, const Exchange& exchange, TimePoint startedAt) -> void;
+
+    /// @brief Holds a lost request; without effect if the loss is one of the path.
+    auto holdLoss(std::uint64_t request, const std::string& target, TimePoint startedAt) -> void;
+
+    /// @brief Forgets the held losses of a request that a target has answered.
+    auto dropLosses(std::uint64_t request) -> void { this->losses.drop(request); }
+
+    [[nodiscard]] auto holdsLosses() const -> bool { return !this->losses.isEmpty(); }
+
+    /// @return whether a loss of the request is held.
+    [[nodiscard]] auto holdsLoss(std::uint64_t request) const -> bool { return this->losses.contains(request); }
+
+    /// @return whether a failure of an exchange that began at `startedAt` is one of the path.
+    [[nodiscard]] auto isPathFailure(TimePoint startedAt) const -> bool { return this->path.isPathFailure(startedAt); }
+
+    [[nodiscard]] auto state() const -> PathState { return this->path.state(); }
+
+    /// @brief Sends the probes that are due; to be called about every 20 ms.
+    auto tick() -> PathUpdate;
+
+private:
+    auto probe(const PathTarget& target, TimePoint startedAt) -> void;
+    auto logChange(const PathChange& change, TimePoint now) -> void;
+
+    boost::asio::io_context& context;
+    const Clock& clock;
+    Metrics& metrics;
+    std::shared_ptr<HttpClient> client;
+    TargetReachability path;
+    HeldLosses losses;
+    /// By pool.
+    std::map<std::string, std::vector<PathTarget>> targets;
+    TimePoint lostAt {};
+};
+
+} // namespace citronloft
--- a/include/citronloft/fleet/quarantine_service.hpp
+++ b/include/citronloft/fleet/quarantine_service.hpp
@@ -30,14 +30,15 @@
     [[nodiscard]] auto isQuarantined(std::uint64_t request) const -> bool;
 
     /// @return whether a lost request can be sent to another target at once.
-    [[nodiscard]] auto allowsRetry(std::uint64_t request) const -> bool
+    /// @param unreportedLosses losses of the request that recordLoss() does not know yet.
+    [[nodiscard]] auto allowsRetry(std::uint64_t request, unsigned unreportedLosses = 0) const -> bool
     {
-        return this->quarantine.allowsRetry(request);
+        return this->quarantine.allowsRetry(request, unreportedLosses);
     }
 
     /// @brief Records that a request was lost when its connection to a target ended.
     /// @param target key of the target's run.
-    auto recordLoss(std::uint64_t request, const std::string& target) -> void;
+    auto recordLoss(std::uint64_t request, const std::string& target, TimePoint lostAt) -> void;
 
     /// @brief Records that a target answered a request.
     auto recordAnswer(std::uint64_t request) -> void;
--- a/programs/citronloftd/host_status.cpp
+++ b/programs/citronloftd/host_status.cpp
@@ -84,6 +84,7 @@
         { "lease_unconfirmed", this->fleet->shares().isUnconfirmed(now) },
         { "store_reachable", vitals.storeReachable },
         { "in_flight", this->gateway->inFlight() },
+        { "target_path", pathStateName(this->gateway->pathState()) },
         { "pools", pools },
         { "zone_peers", peers },
         { "remote_hosts", remote },
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -45,21 +45,6 @@
     return ResultCode::ConnectionLost;
 }
 
-auto targetResultOf(ResultCode code, const HttpResponse& response) -> TargetResult
-{
-    if (code == ResultCode::TargetShed)
-        return TargetResult::Shed;
-    if (code == ResultCode::CallerGone)
-        return TargetResult::Abandoned;
-    if (code == ResultCode::TargetReplaced)
-        return TargetResult::Misdirected;
-    if (code == ResultCode::ConnectFailed)
-        return TargetResult::Unreachable;
-    if (code != ResultCode::Answered || response.status >= 500)
-        return TargetResult::Failed;
-    return TargetResult::Answered;
-}
-
 /// Factory functions, indexed by QueueStrategy.
 constexpr auto queueFactories = std::to_array({ makeFairQueue, makeFifoQueue, makeUrgencyQueue });
 
@@ -77,6 +62,8 @@
     , random(randomId())
     , client(this->option.httpClient ? this->option.httpClient : makeHttpClient(context, clock, this->option.client))
     , prober(clock, client)
+    , pathMonitor(this->option.discoversTargets ? std::make_shared<TargetPathMonitor>(context, clock, metrics, client)
+                                                : nullptr)
     , spillRouter(clock, metrics, fleet, client, *dialect,
           { .zone = this->option.zone,
               .fleetSecret = this->option.fleetSecret,
@@ -211,19 +198,20 @@
 
 /// Records whether the request was lost with its target or answered; other results say nothing of what it does to
 /// targets.
-auto Gateway::recordOutcome(Call& call, ResultCode code, const std::string& target) -> void
+auto Gateway::recordOutcome(Call& call, ResultCode code, const std::string& target, TimePoint startedAt) -> void
 {
     auto& quarantine = this->fleet.quarantine();
     const auto isLost = code == ResultCode::ConnectionLost;
-    const auto isAnswered = code == ResultCode::Answered && !quarantine.isEmpty();
+    const auto holdsLosses = this->pathMonitor && this->pathMonitor->holdsLosses();
+    const auto isAnswered = code == ResultCode::Answered && (holdsLosses || !quarantine.isEmpty());
     if (!isLost && !isAnswered)
         return;
     if (call.identity == 0)
         call.identity = computeRequestIdentity(call);
     if (isLost)
-        quarantine.recordLoss(call.identity, target);
+        this->recordLoss(call.identity, target, startedAt);
     else
-        quarantine.recordAnswer(call.identity);
+        this->recordAnswer(call.identity);
 }
 
 auto Gateway::admitRate(const Call& call, boost::asio::yield_context yield) -> RateDecision
@@ -319,9 +307,7 @@
         // If an attempt may have run, a later one that did not run does not change the result.
         if (outcome != Outcome::NotRun)
             uncertainResult = result.code;
-        const auto isAllowed
-            = result.code != ResultCode::ConnectionLost || this->fleet.quarantine().allowsRetry(call.identity);
-        if (!isAllowed || !budget.tryRetry(attempted, this->clock.now())) {
+        if (!this->allowsRetry(call, result.code) || !budget.tryRetry(attempted, this->clock.now())) {
             result.code = uncertainResult.value_or(result.code);
             return result;
         }
@@ -400,7 +386,7 @@
     const auto request = makeForwardedRequest(*this->dialect, call, live->instance, startedAt);
     if (admission.targets().announcedLimit(target))
         this->metrics.count("citronloft_limited_target_requests_total");
-    auto exchange = this->client->exchange(*address, request, exchangeOption, yield);
+    auto exchange = this->exchangeWithTarget(target, *address, request, exchangeOption, yield);
     call.caller->onDisconnect(nullptr);
     auto code = resultCodeOf(exchange.error);
     const auto fields = this->dialect->parseResponse(exchange.response);
@@ -410,13 +396,13 @@
         code = ResultCode::TargetShed;
     if (code == ResultCode::TargetTimeout || code == ResultCode::TargetReplaced)
         this->client->closeIdle(*address);
-    this->recordOutcome(call, code, target);
+    this->recordOutcome(call, code, target, startedAt);
     if (code == ResultCode::ConnectionLost)
         this->logLostConnection(call, target, exchange.reused, this->clock.now() - startedAt);
     this->responseFieldLog.record(target, exchange.response.fields);
     this->recordReportedLoad(admission, target, fields);
     this->recordRateLimit(call, target, code, exchange.response, fields, startedAt);
-    admission.release(target, targetResultOf(code, exchange.response), this->clock.now() - startedAt);
+    admission.release(target, this->healthResultOf(code, exchange.response, startedAt), this->clock.now() - startedAt);
     if (code == ResultCode::Answered)
         this->recordLatency(call, this->clock.now() - startedAt);
     if (code == ResultCode::Answered)
@@ -458,6 +444,7 @@
     this->fleet.membership().setHeadroom(std::move(headroom));
     if (!this->option.discoversTargets)
         return;
+    this->tickPath();
     this->publishLoads(now);
     this->reportLimits();
 }
--- a/src/citronloft/edge/gateway_targets.cpp
+++ b/src/citronloft/edge/gateway_targets.cpp
@@ -82,7 +82,9 @@
 {
     auto& targets = this->admissions.at(pool.name)->targets();
     if (this->option.discoversTargets) {
-        targets.setLiveTargets(this->liveTargetsOf(pool), this->clock.now());
+        const auto live = this->liveTargetsOf(pool);
+        targets.setLiveTargets(live, this->clock.now());
+        this->pathMonitor->setTargets(pool.name, live, this->option.zone);
         return;
     }
     auto local = std::vector<Target> {};
--- a/src/citronloft/edge/http_client.cpp
+++ b/src/citronloft/edge/http_client.cpp
@@ -76,7 +76,7 @@
         auto connection = this->acquireIdle(address, exchangeOption.maxIdleTime);
         result.reused = connection != nullptr;
         if (!connection)
-            connection = this->connect(address, exchangeOption, result, yield);
+            connection = this->openPooled(address, exchangeOption, result, yield);
         if (!connection)
             return result;
         const auto isReusable
@@ -85,6 +85,12 @@
         return result;
     }
 
+    auto connect(const Address& address, TimePoint deadline, asio::yield_context yield) -> bool override
+    {
+        auto connection = Connection(this->context);
+        return !this->open(connection, address, deadline, yield);
+    }
+
     auto closeIdle(const Address& address) -> void override
     {
         auto& addressPool = this->addressPools[address];
@@ -143,27 +149,34 @@
         return addressPool.open < limit;
     }
 
-    auto connect(const Address& address, const ExchangeOption& exchangeOption, Exchange& result,
+    auto open(Connection& connection, const Address& address, TimePoint deadline, asio::yield_context yield)
+        -> beast::error_code
+    {
+        auto error = beast::error_code {};
+        const auto ip = asio::ip::make_address(address.ip, error);
+        connection.stream.expires_at(std::min(deadline, this->clock.now() + this->option.connectTimeout));
+        if (!error)
+            connection.stream.async_connect(Tcp::endpoint(ip, address.port), yield[error]);
+        return error;
+    }
+
+    auto openPooled(const Address& address, const ExchangeOption& exchangeOption, Exchange& result,
         asio::yield_context yield) -> std::unique_ptr<Connection>
     {
         if (!this->makeRoom(address, exchangeOption.connectionLimit)) {
             result.error = ExchangeError::ConnectFailed;
+            result.limited = true;
             return nullptr;
         }
         ++this->addressPools[address].open;
         auto connection = std::make_unique<Connection>(this->context);
-        auto error = beast::error_code {};
-        const auto ip = asio::ip::make_address(address.ip, error);
-        const auto connectDeadline = std::min(exchangeOption.deadline, this->clock.now() + this->option.connectTimeout);
-        connection->stream.expires_at(connectDeadline);
-        if (!error)
-            connection->stream.async_connect(Tcp::endpoint(ip, address.port), yield[error]);
-        if (error) {
+        if (auto error = this->open(*connection, address, exchangeOption.deadline, yield)) {
             const auto isTimeout = error == beast::error::timeout;
             result.error = isTimeout ? ExchangeError::ConnectTimeout : ExchangeError::ConnectFailed;
             --this->addressPools[address].open;
             return nullptr;
         }
+        auto error = beast::error_code {};
         connection->stream.socket().set_option(Tcp::no_delay(true), error);
         // Closing the stream resets the connection and discards what was not delivered, so that a request that was
         // given up cannot arrive later. Idle connections are destroyed instead, which closes them in the usual way.
--- /dev/null
+++ b/src/citronloft/edge/target_path_monitor.cpp
@@ -0,0 +1,132 @@
+#include "citronloft/edge/target_path_monitor.hpp"
+
+#include <boost/asio/detached.hpp>
+
+#include "citronloft/base/log.hpp"
+
+namespace citronloft {
+
+namespace {
+
+/// Longest time that a probe waits, unless the client's own timeout is shorter.
+constexpr auto probeTimeout = std::chrono::seconds { 1 };
+/// A connection that was given up earlier, since its request had no more time, says nothing of the path; more than the
+/// longest round trip of a deployment takes.
+constexpr auto minConnectTime = std::chrono::milliseconds { 250 };
+
+auto milliseconds(Duration time) -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+} // namespace
+
+TargetPathMonitor::TargetPathMonitor(
+    boost::asio::io_context& context, const Clock& clock, Metrics& metrics, std::shared_ptr<HttpClient> client)
+    : context(context)
+    , clock(clock)
+    , metrics(metrics)
+    , client(std::move(client))
+{
+}
+
+auto TargetPathMonitor::setTargets(
+    const std::string& pool, const std::vector<LiveTarget>& targets, std::string_view ownZone) -> void
+{
+    auto& list = this->targets[pool];
+    list.clear();
+    for (const auto& live : targets) {
+        if (!live.evacuated && !live.target.draining)
+            list.push_back({ live.key(), live.target.address, live.target.zone, pool, live.target.zone == ownZone });
+    }
+    auto all = std::vector<PathTarget> {};
+    for (const auto& [name, poolTargets] : this->targets)
+        all.insert(all.end(), poolTargets.begin(), poolTargets.end());
+    this->path.setTargets(all);
+}
+
+auto TargetPathMonitor::recordEnd(const std::string& target, const Exchange& exchange, TimePoint startedAt) -> void
+{
+    const auto now = this->clock.now();
+    this->path.recordEnd();
+    if (exchange.sent && !exchange.reused)
+        this->path.recordConnect(target, true, startedAt, now);
+    if (exchange.limited)
+        return;
+    switch (exchange.error) {
+    case ExchangeError::None:
+    case ExchangeError::AnswerCut:
+    case ExchangeError::AnswerTooLarge:
+        this->path.recordAnswer(target, startedAt, now);
+        break;
+    case ExchangeError::ConnectFailed:
+        this->path.recordConnect(target, false, startedAt, now);
+        break;
+    case ExchangeError::ConnectTimeout:
+        if (now - startedAt >= minConnectTime)
+            this->path.recordConnect(target, false, startedAt, now);
+        break;
+    case ExchangeError::AnswerTimeout:
+    case ExchangeError::ConnectionLost:
+        this->path.recordLoss(target, now);
+        break;
+    case ExchangeError::Cancelled:
+        break;
+    }
+}
+
+auto TargetPathMonitor::holdLoss(std::uint64_t request, const std::string& target, TimePoint startedAt) -> void
+{
+    if (!this->path.isPathFailure(startedAt))
+        this->losses.add({ request, target, this->clock.now() });
+}
+
+auto TargetPathMonitor::tick() -> PathUpdate
+{
+    const auto now = this->clock.now();
+    if (this->losses.needsProbe(now))
+        this->path.requestProbe();
+    for (const auto& target : this->path.takeDueProbes(now))
+        this->probe(target, now);
+    auto update = PathUpdate {};
+    update.change = this->path.takeChange();
+    if (update.change)
+        this->logChange(*update.change, now);
+    if (this->path.state() == PathState::Lost)
+        this->losses.drop();
+    update.confirmedLosses = this->losses.takeConfirmed(this->path.lastReachedStart(), now);
+    return update;
+}
+
+auto TargetPathMonitor::probe(const PathTarget& target, TimePoint startedAt) -> void
+{
+    boost::asio::spawn(
+        this->context,
+        [self = this->shared_from_this(), target, startedAt](boost::asio::yield_context yield) {
+            const auto address = parseAddress(target.address);
+            const auto isOpen = address.ok() && self->client->connect(*address, startedAt + probeTimeout, yield);
+            self->metrics.count(
+                "citronloft_connection_probes_total", isOpen ? "result=\"open\"" : "result=\"not-open\"");
+            self->path.recordProbe(target.key, isOpen, startedAt, self->clock.now());
+        },
+        boost::asio::detached);
+}
+
+auto TargetPathMonitor::logChange(const PathChange& change, TimePoint now) -> void
+{
+    if (change.state == PathState::Lost) {
+        const auto hasReached = change.lastReachedAt != TimePoint {};
+        this->lostAt = now;
+        LogEvent(LogLevel::Warning, "target-path-lost")
+            .with("targets_not_reached", change.targetsNotReached)
+            .with("reached_ms_ago", hasReached ? std::to_string(milliseconds(now - change.lastReachedAt)) : "never")
+            .with("probes", change.probes);
+        return;
+    }
+    LogEvent(LogLevel::Info, "target-path-back")
+        .with("lost_ms", milliseconds(now - this->lostAt))
+        .with("probes", change.probes)
+        .with("probes_reached", change.probesReached);
+}
+
+} // namespace citronloft
--- a/src/citronloft/fleet/crashing_request_bound_test.cpp
+++ b/src/citronloft/fleet/crashing_request_bound_test.cpp
@@ -139,7 +139,7 @@
             auto& node = *this->world->nodes[run.host];
             if (!node.alive)
                 continue;
-            node.host->quarantine().recordLoss(run.request, key);
+            node.host->quarantine().recordLoss(run.request, key, node.clock->now());
             if (run.canRetry && node.host->quarantine().allowsRetry(run.request))
                 this->send(run.request, run.host, false);
         }
--- a/src/citronloft/fleet/quarantine_service.cpp
+++ b/src/citronloft/fleet/quarantine_service.cpp
@@ -45,14 +45,13 @@
     return this->quarantine.isQuarantined(request, this->clock.now());
 }
 
-auto QuarantineService::recordLoss(std::uint64_t request, const std::string& target) -> void
+auto QuarantineService::recordLoss(std::uint64_t request, const std::string& target, TimePoint lostAt) -> void
 {
-    const auto now = this->clock.now();
-    const auto observation = RequestObservation { request, bucketId(target), now };
+    const auto observation = RequestObservation { request, bucketId(target), lostAt };
     if (this->ownLosses.size() < maxOwnLosses)
         this->ownLosses.insert(request);
     this->exchange.report({ observation });
-    if (this->quarantine.record(observation, now))
+    if (this->quarantine.record(observation, this->clock.now()))
         this->processFinding(request, "own");
 }
 
--- a/tests/fakes/cut_http_client.hpp
+++ b/tests/fakes/cut_http_client.hpp
@@ -56,6 +56,15 @@
                              : Exchange { errorOfNew(this->cut), {}, false, false };
     }
 
+    auto connect(const Address& address, TimePoint deadline, boost::asio::yield_context yield) -> bool override
+    {
+        if (this->cut == ConnectionCut::None || !this->cutAddresses.contains(address))
+            return this->client->connect(address, deadline, yield);
+        if (this->cut == ConnectionCut::Hang)
+            this->waitUntil(std::min(deadline, this->clock.now() + hangTime(false)), yield);
+        return false;
+    }
+
     auto closeIdle(const Address& address) -> void override { this->client->closeIdle(address); }
 
     [[nodiscard]] auto openConnections(const Address& address) const -> std::size_t override
