HTTP client: the comment says what ends a silent connection

Callers see nothing. The comment said that two lost keep-alive probes close a connection.

Change: the comment. Ruled out: a longer user timeout for the store, since calls on a dead connection would end later by as much. Connections to targets have no keep-alive probes, so their 1 s concerns sent bytes only, as the option says.

--- a/src/citronloft/edge/http_client.cpp
+++ b/src/citronloft/edge/http_client.cpp
@@ -199,7 +199,9 @@
                 UserTimeout(static_cast<int>(this->option.tcpUserTimeout.count())), error);
         if (!this->option.usesTcpKeepAlive)
             return;
-        // Probes after 1 s without traffic and each second after that; two lost probes close the connection.
+        // Probes after 1 s without traffic and each second after that. Two lost probes close the connection; with a
+        // user timeout, Linux ignores the count and closes it at the first probe that is due after that time, if the
+        // one before was lost.
         connection.stream.socket().set_option(Tcp::socket::keep_alive(true), error);
         connection.stream.socket().set_option(KeepAliveIdle(1), error);
         connection.stream.socket().set_option(KeepAliveInterval(1), error);
