--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -21,6 +21,7 @@
 #include "citronloft/edge/pool_admission.hpp"
 #include "citronloft/edge/response_field_log.hpp"
 #include "citronloft/edge/spill_router.hpp"
+#include "citronloft/edge/target_path_monitor.hpp"
 #include "citronloft/edge/target_prober.hpp"
 #include "citronloft/fleet/discovery.hpp"
 #include "citronloft/fleet/fleet_host.hpp"
@@ -38,6 +39,8 @@
     /// Wire format of callers and targets; null selects the default dialect.
     std::shared_ptr<const Dialect> dialect;
     HttpClientOption client;
+    /// Client for requests to targets and other hosts; null creates one with the options in `client`.
+    std::shared_ptr<HttpClient> httpClient;
     /// Whether targets of all zones are found by discovery and requests are sent to them directly. If so, no request is
     /// forwarded to another host.
     bool discoversTargets = false;
@@ -87,6 +90,9 @@
     /// @brief Updates the limits of targets from the observations of other hosts.
     auto mergeLimits(const std::vector<LimitObservation>& observations) -> void;
 
+    /// @brief Sets whether this host reaches targets at all.
+    auto setReachesTargets(bool reaches) -> void { this->reachesTargets = reaches; }
+
     /// @brief Handles one request.
     auto handle(HttpRequest& request, CallerContext& caller, boost::asio::yield_context yield) -> HttpResponse;
 
@@ -108,6 +114,12 @@
     /// @return the number of requests being handled.
     [[nodiscard]] auto inFlight() const -> std::size_t { return this->inFlightRequests; }
 
+    /// @return what this host knows of its path to the targets.
+    [[nodiscard]] auto pathState() const -> PathState
+    {
+        return this->pathMonitor ? this->pathMonitor->state() : PathState::Reached;
+    }
+
     /// @return the admission state of each pool by pool name, for status pages.
     [[nodiscard]] auto pools() const -> const std::map<std::string, std::unique_ptr<PoolAdmission>>&
     {
@@ -141,7 +153,15 @@
     auto admitRate(const Call& call, boost::asio::yield_context yield) -> RateDecision;
     [[nodiscard]] auto isStillAuthorized(const Call& call) const -> bool;
     [[nodiscard]] auto isQuarantined(Call& call) const -> bool;
-    auto recordOutcome(Call& call, ResultCode code, const std::string& target) -> void;
+    auto recordOutcome(Call& call, ResultCode code, const std::string& target, TimePoint startedAt) -> void;
+    auto exchangeWithTarget(const std::string& target, const Address& address, const HttpRequest& request,
+        const ExchangeOption& exchangeOption, boost::asio::yield_context yield) -> Exchange;
+    auto recordLoss(std::uint64_t request, const std::string& target, TimePoint startedAt) -> void;
+    auto recordAnswer(std::uint64_t request) -> void;
+    [[nodiscard]] auto allowsRetry(const Call& call, ResultCode code) const -> bool;
+    [[nodiscard]] auto healthResultOf(ResultCode code, const HttpResponse& response, TimePoint startedAt) const
+        -> TargetResult;
+    auto tickPath() -> void;
     auto claimIdempotencyKey(const Call& call, boost::asio::yield_context yield) -> std::optional<ClaimResult>;
     auto claimAndRun(Call& call, boost::asio::yield_context yield) -> CallResult;
     auto runAttempts(Call& call, boost::asio::yield_context yield) -> CallResult;
@@ -183,11 +203,14 @@
     TimePoint nextLoadPublishAt {};
     std::shared_ptr<HttpClient> client;
     TargetProber prober;
+    /// Null if targets are not found by discovery.
+    std::shared_ptr<TargetPathMonitor> pathMonitor;
     SpillRouter spillRouter;
     std::shared_ptr<const ConfigSnapshot> snapshot;
     WithdrawnKeys withdrawnKeys;
     std::map<std::string, std::unique_ptr<PoolAdmission>> admissions;
     std::size_t inFlightRequests = 0;
+    bool reachesTargets = true;
     TimePoint lastRequestTime {};
 };
 
