An ejected target is used again when the others of its pool drain

Callers saw: every request of a pool refused with no-target although one of its targets was sound again, until another target joined or the store listed a draining one as ready.

Cause: on hosts that use ejected targets again without a probe, an ejection is ended only when a target is chosen. Requests are refused before that if no target accepts requests, and an ejected target did not, however long ago its ejection had ended.

Ruled out: the floor of targets that ejection leaves in use; it is applied when a target is ejected, not when another drains afterwards.

Change: a target whose ejection is over accepts requests.

Test before: slot_allocator_test.cpp: Failure this->decisions.back().target Which is: "" ejected Which is: "run-1@0" [ FAILED ] SlotAllocatorTest.EjectedTargetIsUsedAgainWhenTheOtherDrains After: policy_test passes.

--- a/include/citronloft/policy/target_pool.hpp
+++ b/include/citronloft/policy/target_pool.hpp
@@ -276,8 +276,9 @@
     auto recordFailure(Member& member, unsigned weight, TimePoint now) -> void;
     auto recordAnswer(Member& member, TimePoint now) -> void;
     auto endEjection(Member& member, TimePoint now) -> void;
-    [[nodiscard]] auto canEject() const -> bool;
-    [[nodiscard]] auto acceptsRequests(const Member& member) const -> bool;
+    [[nodiscard]] auto isEjectionOver(const Member& member, TimePoint now) const -> bool;
+    [[nodiscard]] auto canEject(TimePoint now) const -> bool;
+    [[nodiscard]] auto acceptsRequests(const Member& member, TimePoint now) const -> bool;
     [[nodiscard]] auto limitOf(const Member& member, TimePoint now) const -> std::uint32_t;
     [[nodiscard]] auto loadOf(const Member& member, TimePoint now) const -> double;
 
--- /dev/null
+++ b/src/citronloft/policy/slot_allocator_test.cpp
@@ -0,0 +1,56 @@
+#include <gtest/gtest.h>
+
+#include "citronloft/policy/slot_allocator.hpp"
+
+namespace citronloft {
+namespace {
+
+using namespace std::chrono_literals;
+
+class SlotAllocatorTest : public testing::Test {
+protected:
+    auto SetUp() -> void override { this->slots.targets().setLiveTargets(targets(), this->now); }
+
+    static auto targets() -> std::vector<LiveTarget>
+    {
+        auto list = std::vector<LiveTarget>(2);
+        for (auto i = std::size_t { 0 }; i < list.size(); ++i) {
+            list[i].instance = "run-" + std::to_string(i);
+            list[i].target = { "10.1.0." + std::to_string(i) + ":80", "north-a", 4, 100, false };
+        }
+        return list;
+    }
+
+    /// @return whether the request was queued.
+    auto acquire(std::uint64_t object) -> bool
+    {
+        const auto end = this->now + 5s;
+        auto requirements = TargetRequirements {};
+        requirements.object = object;
+        const auto done = [this](const SlotDecision& decision) { this->decisions.push_back(decision); };
+        return this->slots.acquire({ 0, 1, end, requirements, 0, end }, this->now, done) != 0;
+    }
+
+    TimePoint now { 1h };
+    SlotAllocator slots { makeUrgencyQueue({}), TargetPool { discoveredPoolOption(), 42 } };
+    std::vector<SlotDecision> decisions;
+};
+
+/// A pool whose other targets cannot be used must not stay without a target after the ejection has ended.
+TEST_F(SlotAllocatorTest, EjectedTargetIsUsedAgainWhenTheOtherDrains)
+{
+    auto list = targets();
+    const auto ejected = list.back().key();
+    for (auto i = 0; i < 3; ++i)
+        this->slots.release(ejected, TargetResult::Failed, 5ms, this->now);
+    list.front().target.draining = true;
+    this->slots.targets().setLiveTargets(list, this->now);
+    this->acquire(1);
+    EXPECT_EQ(this->decisions.back().target, "");
+    this->now += 4s;
+    this->acquire(1);
+    EXPECT_EQ(this->decisions.back().target, ejected);
+}
+
+} // namespace
+} // namespace citronloft
--- a/src/citronloft/policy/target_pool.cpp
+++ b/src/citronloft/policy/target_pool.cpp
@@ -166,7 +166,7 @@
 auto TargetPool::isEligible(Member& member, const TargetRequirements& requirements, TimePoint now) -> bool
 {
     this->endEjection(member, now);
-    if (!this->acceptsRequests(member))
+    if (!this->acceptsRequests(member, now))
         return false;
     if (std::ranges::find(requirements.avoid, member.key) != requirements.avoid.end())
         return false;
@@ -182,8 +182,7 @@
 /// Returns a target to use after its ejection without a probe; a single further failure ejects it again.
 auto TargetPool::endEjection(Member& member, TimePoint now) -> void
 {
-    const auto isOver = member.health->state() == TargetState::Ejected && now >= member.ejectedUntil;
-    if (!this->option.returnsWithoutProbe || !isOver)
+    if (member.health->state() != TargetState::Ejected || !this->isEjectionOver(member, now))
         return;
     member.health->process(TargetEvent::ProbeOk);
     member.rampStartedAt = now;
@@ -241,7 +240,7 @@
 {
     return std::ranges::any_of(this->members, [&](const Member& member) {
         const auto hasRate = !member.announcedLimit.perSecond() || this->limitShareOf(member, now) > 0;
-        return this->acceptsRequests(member) && this->limitOf(member, now) > 0 && hasRate;
+        return this->acceptsRequests(member, now) && this->limitOf(member, now) > 0 && hasRate;
     });
 }
 
@@ -249,7 +248,7 @@
 {
     auto sum = std::uint32_t { 0 };
     for (const auto& member : this->members)
-        sum += this->acceptsRequests(member) ? this->freeSlotsOf(member, now) : 0;
+        sum += this->acceptsRequests(member, now) ? this->freeSlotsOf(member, now) : 0;
     return sum;
 }
 
@@ -267,7 +266,7 @@
     auto sum = std::uint32_t { 0 };
     auto limitedRate = 0.0;
     for (const auto& member : this->members) {
-        if (!this->acceptsRequests(member))
+        if (!this->acceptsRequests(member, now))
             continue;
         if (member.announcedLimit.perSecond())
             limitedRate += this->limitShareOf(member, now);
@@ -290,7 +289,7 @@
 auto TargetPool::hasFreeCapacity(TimePoint now) const -> bool
 {
     return std::ranges::any_of(this->members, [&](const Member& member) {
-        return this->acceptsRequests(member) && this->freeSlotsOf(member, now) > 0
+        return this->acceptsRequests(member, now) && this->freeSlotsOf(member, now) > 0
             && this->loadOf(member, now) < 1 + this->option.maxTargetQueueFraction;
     });
 }
@@ -342,7 +341,7 @@
     member.failures += weight;
     const auto isExcluded
         = member.health->state() == TargetState::Ejected || member.health->state() == TargetState::Draining;
-    if (isExcluded || member.failures < this->option.failuresToEject || !this->canEject())
+    if (isExcluded || member.failures < this->option.failuresToEject || !this->canEject(now))
         return;
     member.health->process(TargetEvent::Failed);
     member.failures = 0;
@@ -365,19 +364,26 @@
     }
 }
 
-auto TargetPool::canEject() const -> bool
+auto TargetPool::isEjectionOver(const Member& member, TimePoint now) const -> bool
 {
-    const auto inUse = std::ranges::count_if(this->members, [&](const Member& m) { return this->acceptsRequests(m); });
+    return this->option.returnsWithoutProbe && now >= member.ejectedUntil;
+}
+
+auto TargetPool::canEject(TimePoint now) const -> bool
+{
+    const auto inUse
+        = std::ranges::count_if(this->members, [&](const Member& m) { return this->acceptsRequests(m, now); });
     const auto minInUse = std::ceil(static_cast<double>(this->members.size()) * this->option.minInUseFraction);
     return static_cast<double>(inUse - 1) >= minInUse;
 }
 
-auto TargetPool::acceptsRequests(const Member& member) const -> bool
+auto TargetPool::acceptsRequests(const Member& member, TimePoint now) const -> bool
 {
     if (member.live.evacuated || member.isMisdirected)
         return false;
     const auto state = member.health->state();
-    return state != TargetState::Ejected && state != TargetState::Draining;
+    const auto isEjected = state == TargetState::Ejected && !this->isEjectionOver(member, now);
+    return !isEjected && state != TargetState::Draining;
 }
 
 auto TargetPool::limitOf(const Member& member, TimePoint now) const -> std::uint32_t
