Queued requests are refused when no target is left

Callers saw: a request that waited for a slot got its refusal only shortly before its deadline when all targets of its pool drained or disappeared meanwhile, while requests that came after it were refused at once.

Cause: the queue removed only requests that had become too late.

Ruled out: a refusal on the next release of a slot; without targets there may be none.

Change: the tick of an allocator refuses what waits if its pool has no usable target, as acquire() does for new requests.

Test before: slot_allocator_test.cpp: Failure this->slots.queued() Which is: 1, expected 0U this->decisions.size() Which is: 14, expected started + 1: 15 [ FAILED ] SlotAllocatorTest.QueuedRequestsAreRefusedWhenNoTargetIsLeft After: policy_test passes.

--- a/include/citronloft/policy/slot_allocator.hpp
+++ b/include/citronloft/policy/slot_allocator.hpp
@@ -55,7 +55,8 @@
     /// @brief Releases a slot and assigns free slots to queued requests.
     auto release(const std::string& target, TargetResult result, Duration latency, TimePoint now) -> void;
 
-    /// @brief Refuses requests that are too late and assigns free slots; to be called about every 20 ms.
+    /// @brief Refuses requests that are too late, or all if no target is left, and assigns free slots; to be called
+    /// about every 20 ms.
     auto tick(TimePoint now) -> void;
 
     auto targets() -> TargetPool& { return this->pool; }
@@ -72,6 +73,7 @@
     };
 
     auto dispatch(TimePoint now) -> void;
+    auto refuseWaiting() -> void;
     auto complete(std::uint64_t id, const SlotDecision& decision) -> void;
     [[nodiscard]] auto concurrency(TimePoint now) const -> std::size_t;
 
--- a/src/citronloft/policy/slot_allocator.cpp
+++ b/src/citronloft/policy/slot_allocator.cpp
@@ -1,6 +1,7 @@
 #include "citronloft/policy/slot_allocator.hpp"
 
 #include <algorithm>
+#include <vector>
 
 namespace citronloft {
 
@@ -69,9 +70,23 @@
 {
     for (const auto& late : this->queue->removeLate(this->pool.serviceTime(), now))
         this->complete(late.id, { {}, ResultCode::DeadlineTooShort });
+    if (this->queue->size() > 0 && !this->pool.hasUsableTarget(now))
+        this->refuseWaiting();
     this->dispatch(now);
 }
 
+/// Refuses all waiting requests, since no target is left that could take them.
+auto SlotAllocator::refuseWaiting() -> void
+{
+    auto ids = std::vector<std::uint64_t> {};
+    for (const auto& [id, request] : this->waiting)
+        ids.push_back(id);
+    for (const auto id : ids) {
+        this->queue->remove(id);
+        this->complete(id, { {}, ResultCode::NoTarget });
+    }
+}
+
 auto SlotAllocator::headroom(TimePoint now) const -> std::uint32_t
 {
     return this->queue->size() > 0 ? 0 : this->pool.freeSlots(now);
--- a/src/citronloft/policy/slot_allocator_test.cpp
+++ b/src/citronloft/policy/slot_allocator_test.cpp
@@ -52,5 +52,21 @@
     EXPECT_EQ(this->decisions.back().target, ejected);
 }
 
+/// A request that no target can take must not wait until its deadline.
+TEST_F(SlotAllocatorTest, QueuedRequestsAreRefusedWhenNoTargetIsLeft)
+{
+    constexpr auto maxRequests = 100U;
+    auto object = std::uint64_t { 0 };
+    while (!this->acquire(object) && object < maxRequests)
+        ++object;
+    ASSERT_EQ(this->slots.queued(), 1U);
+    const auto started = this->decisions.size();
+    this->slots.targets().setLiveTargets({}, this->now);
+    this->slots.tick(this->now);
+    EXPECT_EQ(this->slots.queued(), 0U);
+    ASSERT_EQ(this->decisions.size(), started + 1);
+    EXPECT_EQ(this->decisions.back().refusal, ResultCode::NoTarget);
+}
+
 } // namespace
 } // namespace citronloft
