Targets that say that they leave get no further requests

Callers would see: requests sent to targets that are about to exit, which end with them; on the users' platform a request that reaches such a target later than drainS after its statement was passed on breaks DRAIN.

Cause: no code read Server-Leaving. A host learned that a target leaves only from its entry in the store, which can be behind, restored, or say nothing.

Ruled out: - Taking the statement back on a later answer without it: such an answer can be late, and DRAIN names nothing that ends it but a restart or a freeze of the host. Another run of the target has no statements. - Telling other hosts: the rule binds the host that passed the answer on, and the store's entry follows. - Refusing at once when all targets of a region leave: they accept requests for drainS (2.5 s), so they are used for 2 s of it. - Answers 421: another server gives them.

Log target-leaving, metric citronloft_targets_leaving_total, `leaving` on the status page; a malformed value is logged and ignored.

--- a/include/citronloft/edge/dialect.hpp
+++ b/include/citronloft/edge/dialect.hpp
@@ -59,6 +59,8 @@
     /// Maximum rate in requests per second that the target accepts from all hosts together; nothing if the response
     /// states none, an error if it cannot be parsed.
     absl::StatusOr<std::optional<double>> rateLimit = std::optional<double> {};
+    /// Whether the target states that it is about to stop; an error if the statement cannot be parsed.
+    absl::StatusOr<bool> isLeaving = false;
 };
 
 /// @brief Parameters of a lookup.
--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -150,9 +150,13 @@
     auto recordReportedLoad(PoolAdmission& admission, const std::string& target, const TargetFields& fields) -> void;
     auto recordRateLimit(const Call& call, const std::string& target, ResultCode code, const HttpResponse& response,
         const TargetFields& fields, TimePoint sentAt) -> void;
+    auto recordStatements(const Call& call, const std::string& target, ResultCode code, const TargetFields& fields)
+        -> void;
     auto reportLimits() -> void;
     auto logRateLimit(const LimitUpdate& update, const std::string& pool, std::string_view source) -> void;
     auto logMalformedRateLimit(const Call& call, const std::string& target, const absl::Status& reason) -> void;
+    auto logLeavingTarget(const Call& call, const std::string& target) -> void;
+    auto logIgnoredStatement(const Call& call, const std::string& target, const absl::Status& reason) -> void;
     auto logFailure(const HttpRequest& request, const CallResult& result, Duration took) -> void;
     [[nodiscard]] auto teamOf(std::string_view key) const -> const Team*;
     auto logLostConnection(const Call& call, const std::string& target, bool wasReused, Duration afterSending) -> void;
--- a/include/citronloft/policy/target_pool.hpp
+++ b/include/citronloft/policy/target_pool.hpp
@@ -19,6 +19,7 @@
 #include "citronloft/policy/request_pacer.hpp"
 #include "citronloft/policy/target_health.hpp"
 #include "citronloft/policy/target_load.hpp"
+#include "citronloft/policy/target_statements.hpp"
 
 namespace citronloft {
 
@@ -111,6 +112,7 @@
     std::uint32_t limit = 0;
     /// Rate that the target announces, in requests per second.
     std::optional<double> announcedLimit;
+    bool isLeaving = false;
 };
 
 /// @brief The targets of one pool to which this host can send requests.
@@ -175,6 +177,11 @@
     /// @return limit in requests per second that a target announces; nothing if there is none.
     [[nodiscard]] auto announcedLimit(const std::string& key) const -> std::optional<double>;
 
+    /// @brief Records that a target is about to stop. This run of it gets no further requests, even if its entry says
+    /// otherwise or returns after an absence, unless no other target of its region can take them.
+    /// @return whether the target had not said so before.
+    auto recordLeaving(const std::string& key, TimePoint now) -> bool;
+
     /// @brief Records the result of a probe.
     auto recordProbe(const std::string& key, bool ok, TimePoint now) -> void;
 
@@ -234,6 +241,7 @@
         bool hasReport = false;
         bool reportedDraining = false;
         bool isMisdirected = false;
+        TargetStatements statements;
         AnnouncedLimit announcedLimit;
         /// Spaces requests while the target is cold or announces a limit.
         RequestPacer pacer;
@@ -250,6 +258,12 @@
         TimePoint expiresAt;
     };
 
+    /// Statements of a target that is no longer in the pool and may return.
+    struct DepartedStatements {
+        TargetStatements statements;
+        TimePoint expiresAt;
+    };
+
     struct Scored {
         double score = 0;
         double load = 0;
@@ -263,6 +277,8 @@
     auto startRequest(Member& member, TimePoint now) -> std::string;
     auto retainLimits(TimePoint now) -> void;
     auto restoreLimit(Member& member) -> void;
+    auto retainStatements(TimePoint now) -> void;
+    auto restoreStatements(Member& member) -> void;
     auto applyLimitChange(Member& member, LimitChange change, TimePoint now) -> void;
     [[nodiscard]] auto isCold(const Member& member, TimePoint now) const -> bool;
     [[nodiscard]] auto isRateLimited(const Member& member, TimePoint now) const -> bool;
@@ -279,6 +295,8 @@
     [[nodiscard]] auto isEjectionOver(const Member& member, TimePoint now) const -> bool;
     [[nodiscard]] auto canEject(TimePoint now) const -> bool;
     [[nodiscard]] auto acceptsRequests(const Member& member, TimePoint now) const -> bool;
+    [[nodiscard]] auto isExcluded(const Member& member, TimePoint now) const -> bool;
+    [[nodiscard]] auto isLastResort(const Member& member, TimePoint now) const -> bool;
     [[nodiscard]] auto limitOf(const Member& member, TimePoint now) const -> std::uint32_t;
     [[nodiscard]] auto loadOf(const Member& member, TimePoint now) const -> double;
 
@@ -295,6 +313,7 @@
     LimitShare limitShare;
     /// By key of the target.
     std::unordered_map<std::string, DepartedLimit> departedLimits;
+    std::unordered_map<std::string, DepartedStatements> departedStatements;
     std::vector<std::string> unreportedLimits;
     double hostFraction = 1;
     Duration meanLatency = std::chrono::milliseconds { 5 };
--- a/programs/citronloftd/host_status.cpp
+++ b/programs/citronloftd/host_status.cpp
@@ -53,7 +53,8 @@
         for (const auto& view : admission->targets().views(now))
             targets.push_back({ { "address", view.address }, { "state", targetStateName(view.state) },
                 { "in_flight", view.inFlight }, { "limit", view.limit },
-                { "announced_limit", view.announcedLimit ? nlohmann::json(*view.announcedLimit) : nlohmann::json() } });
+                { "announced_limit", view.announcedLimit ? nlohmann::json(*view.announcedLimit) : nlohmann::json() },
+                { "leaving", view.isLeaving } });
         pools[name]
             = { { "queued", admission->queued() }, { "headroom", admission->headroom() }, { "targets", targets } };
     }
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -416,6 +416,7 @@
     this->responseFieldLog.record(target, exchange.response.fields);
     this->recordReportedLoad(admission, target, fields);
     this->recordRateLimit(call, target, code, exchange.response, fields, startedAt);
+    this->recordStatements(call, target, code, fields);
     admission.release(target, targetResultOf(code, exchange.response), this->clock.now() - startedAt);
     if (code == ResultCode::Answered)
         this->recordLatency(call, this->clock.now() - startedAt);
--- a/src/citronloft/edge/gateway_log.cpp
+++ b/src/citronloft/edge/gateway_log.cpp
@@ -116,6 +116,32 @@
         .with("left_out", suppressedLines);
 }
 
+auto Gateway::logLeavingTarget(const Call& call, const std::string& target) -> void
+{
+    this->metrics.count("citronloft_targets_leaving_total");
+    auto suppressedLines = std::uint64_t { 0 };
+    if (!this->logLimiter.allow("target-leaving", this->clock.now(), suppressedLines))
+        return;
+    LogEvent(LogLevel::Info, "target-leaving")
+        .with("target", target)
+        .with("pool", call.pool)
+        .with("request", call.fields.requestId)
+        .with("left_out", suppressedLines);
+}
+
+auto Gateway::logIgnoredStatement(const Call& call, const std::string& target, const absl::Status& reason) -> void
+{
+    constexpr auto maxReasonLength = std::size_t { 100 };
+    auto suppressedLines = std::uint64_t { 0 };
+    if (!this->logLimiter.allow("target-statement-ignored", this->clock.now(), suppressedLines))
+        return;
+    LogEvent(LogLevel::Warning, "target-statement-ignored")
+        .with("target", target)
+        .with("request", call.fields.requestId)
+        .with("reason", std::string { reason.message().substr(0, maxReasonLength) })
+        .with("left_out", suppressedLines);
+}
+
 auto Gateway::logMalformedRateLimit(const Call& call, const std::string& target, const absl::Status& reason) -> void
 {
     auto suppressedLines = std::uint64_t { 0 };
--- a/src/citronloft/edge/gateway_targets.cpp
+++ b/src/citronloft/edge/gateway_targets.cpp
@@ -184,6 +184,21 @@
         this->logRateLimit({ target, change, perSecond }, call.pool, call.fields.requestId);
 }
 
+/// Records what a response states about further requests. A misdirected response speaks of another server.
+auto Gateway::recordStatements(const Call& call, const std::string& target, ResultCode code, const TargetFields& fields)
+    -> void
+{
+    if (code != ResultCode::Answered && code != ResultCode::TargetShed)
+        return;
+    if (!fields.isLeaving.ok()) {
+        this->logIgnoredStatement(call, target, fields.isLeaving.status());
+        return;
+    }
+    auto& targets = this->admissions.at(call.pool)->targets();
+    if (*fields.isLeaving && targets.recordLeaving(target, this->clock.now()))
+        this->logLeavingTarget(call, target);
+}
+
 auto Gateway::mergeLimits(const std::vector<LimitObservation>& observations) -> void
 {
     for (auto& [pool, admission] : this->admissions) {
--- a/src/citronloft/policy/target_pool.cpp
+++ b/src/citronloft/policy/target_pool.cpp
@@ -73,12 +73,14 @@
             member.hash = XXH3_64bits(key.data(), key.size());
             member.rampStartedAt = now;
             this->restoreLimit(member);
+            this->restoreStatements(member);
         }
         member.live = live;
         this->updateDrain(member);
         kept.push_back(std::move(member));
     }
     this->retainLimits(now);
+    this->retainStatements(now);
     this->members = std::move(kept);
     this->indexByKey.clear();
     this->indexByHash.clear();
@@ -314,7 +316,7 @@
     auto list = std::vector<TargetView> {};
     for (const auto& member : this->members)
         list.push_back({ member.live.target.address, member.health->state(), member.inFlight,
-            this->limitOf(member, now), member.announcedLimit.perSecond() });
+            this->limitOf(member, now), member.announcedLimit.perSecond(), member.statements.isLeaving() });
     return list;
 }
 
@@ -377,15 +379,6 @@
     return static_cast<double>(inUse - 1) >= minInUse;
 }
 
-auto TargetPool::acceptsRequests(const Member& member, TimePoint now) const -> bool
-{
-    if (member.live.evacuated || member.isMisdirected)
-        return false;
-    const auto state = member.health->state();
-    const auto isEjected = state == TargetState::Ejected && !this->isEjectionOver(member, now);
-    return !isEjected && state != TargetState::Draining;
-}
-
 auto TargetPool::limitOf(const Member& member, TimePoint now) const -> std::uint32_t
 {
     const auto slots = static_cast<double>(member.live.target.slots);
