Targets that ask for a pause get nothing until it is over

Callers would see: requests refused, or late, since they were sent first to a target that had said it takes none for a while.

Cause: no code read Retry-After of targets. A refusal made a target count as full for 150 ms.

Ruled out: - Shortening or ending the pause: a shorter time stated later belongs to another request, and an answer to an earlier request is no permission. Only the end of the time or another run of the target ends it. - 503 without the mark that the request was not run: a request whose run ends in 503 could put target after target out of use. - Keeping requests in the queue until the first pause ends, when all targets want one: they are refused at once, with the time until that end as Retry-After.

Change: the dialects read decimal seconds (at most an hour; a date and other forms are logged and ignored), the pool leaves the run out of every choice and of its capacity until then, also if its entry disappears and returns; the prober sends nothing either. Log target-paused, metric citronloft_target_pauses_total, paused_ms on the status page.

--- a/include/citronloft/edge/call.hpp
+++ b/include/citronloft/edge/call.hpp
@@ -75,6 +75,10 @@
 /// @return the number of milliseconds, capped at one hour; nothing if `text` is not a non-negative decimal integer.
 auto parseMilliseconds(std::string_view text) -> std::optional<std::chrono::milliseconds>;
 
+/// @return the time that a Retry-After field states in decimal seconds, capped at one hour; nothing if there is no
+/// such field, an error if it has another form.
+auto parseRetryAfter(const HeaderFields& fields) -> absl::StatusOr<std::optional<std::chrono::milliseconds>>;
+
 /// @return whether the code guarantees that the request did not run.
 auto provesNotRun(ResultCode code) -> bool;
 
--- a/include/citronloft/edge/dialect.hpp
+++ b/include/citronloft/edge/dialect.hpp
@@ -61,6 +61,9 @@
     absl::StatusOr<std::optional<double>> rateLimit = std::optional<double> {};
     /// Whether the target states that it is about to stop; an error if the statement cannot be parsed.
     absl::StatusOr<bool> isLeaving = false;
+    /// Time for which the target, which refused the request, wants no others from this host; nothing if the response
+    /// states none, an error if it cannot be parsed.
+    absl::StatusOr<std::optional<std::chrono::milliseconds>> pause = std::optional<std::chrono::milliseconds> {};
 };
 
 /// @brief Parameters of a lookup.
--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -152,10 +152,12 @@
         const TargetFields& fields, TimePoint sentAt) -> void;
     auto recordStatements(const Call& call, const std::string& target, ResultCode code, const TargetFields& fields)
         -> void;
+    [[nodiscard]] auto retryAfterOf(PoolAdmission& admission) const -> Duration;
     auto reportLimits() -> void;
     auto logRateLimit(const LimitUpdate& update, const std::string& pool, std::string_view source) -> void;
     auto logMalformedRateLimit(const Call& call, const std::string& target, const absl::Status& reason) -> void;
     auto logLeavingTarget(const Call& call, const std::string& target) -> void;
+    auto logPausedTarget(const Call& call, const std::string& target, Duration pause) -> void;
     auto logIgnoredStatement(const Call& call, const std::string& target, const absl::Status& reason) -> void;
     auto logFailure(const HttpRequest& request, const CallResult& result, Duration took) -> void;
     [[nodiscard]] auto teamOf(std::string_view key) const -> const Team*;
--- a/include/citronloft/policy/target_pool.hpp
+++ b/include/citronloft/policy/target_pool.hpp
@@ -113,6 +113,8 @@
     /// Rate that the target announces, in requests per second.
     std::optional<double> announcedLimit;
     bool isLeaving = false;
+    /// Time until which the target wants no requests from this host.
+    TimePoint pausedUntil {};
 };
 
 /// @brief The targets of one pool to which this host can send requests.
@@ -182,6 +184,13 @@
     /// @return whether the target had not said so before.
     auto recordLeaving(const std::string& key, TimePoint now) -> bool;
 
+    /// @brief Records that a target wants no requests until `until` (see TargetStatements::recordPause()).
+    /// @return whether a pause began.
+    auto recordPause(const std::string& key, TimePoint until, TimePoint now) -> bool;
+
+    /// @return earliest time at which a target that has asked for a pause accepts requests again; nothing if none has.
+    [[nodiscard]] auto earliestPauseEnd(TimePoint now) const -> std::optional<TimePoint>;
+
     /// @brief Records the result of a probe.
     auto recordProbe(const std::string& key, bool ok, TimePoint now) -> void;
 
--- a/programs/citronloftd/host_status.cpp
+++ b/programs/citronloftd/host_status.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 #include "citronloft/fleet/slot_map.hpp"
@@ -50,11 +52,14 @@
     auto pools = nlohmann::json::object();
     for (const auto& [name, admission] : this->gateway->pools()) {
         auto targets = nlohmann::json::array();
-        for (const auto& view : admission->targets().views(now))
+        for (const auto& view : admission->targets().views(now)) {
+            const auto pause = std::max<Duration>(view.pausedUntil - now, Duration {});
             targets.push_back({ { "address", view.address }, { "state", targetStateName(view.state) },
                 { "in_flight", view.inFlight }, { "limit", view.limit },
                 { "announced_limit", view.announcedLimit ? nlohmann::json(*view.announcedLimit) : nlohmann::json() },
-                { "leaving", view.isLeaving } });
+                { "leaving", view.isLeaving },
+                { "paused_ms", std::chrono::ceil<std::chrono::milliseconds>(pause).count() } });
+        }
         pools[name]
             = { { "queued", admission->queued() }, { "headroom", admission->headroom() }, { "targets", targets } };
     }
--- a/src/citronloft/edge/call.cpp
+++ b/src/citronloft/edge/call.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <cstring>
 
 #include "citronloft/base/digest.hpp"
@@ -48,6 +49,22 @@
     return std::chrono::milliseconds { std::min(value, maxMilliseconds) };
 }
 
+auto parseRetryAfter(const HeaderFields& fields) -> absl::StatusOr<std::optional<std::chrono::milliseconds>>
+{
+    constexpr auto name = "Retry-After";
+    constexpr auto maxTime = std::chrono::duration<double>(std::chrono::hours { 1 });
+    if (!fields.has(name))
+        return std::nullopt;
+    const auto text = fields.get(name);
+    auto seconds = 0.0;
+    const auto [end, error]
+        = std::from_chars(text.data(), text.data() + text.size(), seconds, std::chars_format::fixed);
+    const auto isNumber = error == std::errc {} && end == text.data() + text.size() && std::isfinite(seconds);
+    if (!isNumber || seconds < 0)
+        return absl::InvalidArgumentError("Retry-After: expected decimal seconds, got " + std::string { text });
+    return std::chrono::ceil<std::chrono::milliseconds>(std::min(std::chrono::duration<double>(seconds), maxTime));
+}
+
 auto provesNotRun(ResultCode code) -> bool { return resultInfo(code).outcome == Outcome::NotRun; }
 
 auto regionOf(const Call& call, const std::string& zone) -> std::string
--- a/src/citronloft/edge/default_dialect.cpp
+++ b/src/citronloft/edge/default_dialect.cpp
@@ -90,6 +90,8 @@
     {
         auto fields = TargetFields {};
         fields.notRun = answer.status == 503 && answer.fields.get(outcomeHeader) == "not-run";
+        if (fields.notRun)
+            fields.pause = parseRetryAfter(answer.fields);
         return fields;
     }
 
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -323,6 +323,7 @@
             = result.code != ResultCode::ConnectionLost || this->fleet.quarantine().allowsRetry(call.identity);
         if (!isAllowed || !budget.tryRetry(attempted, this->clock.now())) {
             result.code = uncertainResult.value_or(result.code);
+            result.retryAfter = this->retryAfterOf(admission);
             return result;
         }
         const auto reason = "reason=\"" + std::string { resultInfo(result.code).name } + "\"";
@@ -369,7 +370,8 @@
         = !uncertainResult && !call.isSpilled && refusal != ResultCode::CallerGone && !this->option.discoversTargets;
     if (isForwarded)
         return this->spillRouter.forward(call, refusal, yield);
-    auto result = CallResult { uncertainResult.value_or(refusal), {}, busyRetryAfter };
+    auto& admission = *this->admissions.at(call.pool);
+    auto result = CallResult { uncertainResult.value_or(refusal), {}, this->retryAfterOf(admission) };
     result.pool = call.pool;
     result.attempts = attempt - 1;
     return result;
--- a/src/citronloft/edge/gateway_log.cpp
+++ b/src/citronloft/edge/gateway_log.cpp
@@ -129,6 +129,20 @@
         .with("left_out", suppressedLines);
 }
 
+auto Gateway::logPausedTarget(const Call& call, const std::string& target, Duration pause) -> void
+{
+    this->metrics.count("citronloft_target_pauses_total");
+    auto suppressedLines = std::uint64_t { 0 };
+    if (!this->logLimiter.allow("target-paused", this->clock.now(), suppressedLines))
+        return;
+    LogEvent(LogLevel::Info, "target-paused")
+        .with("target", target)
+        .with("pool", call.pool)
+        .with("request", call.fields.requestId)
+        .with("pause_ms", std::chrono::duration_cast<std::chrono::milliseconds>(pause).count())
+        .with("left_out", suppressedLines);
+}
+
 auto Gateway::logIgnoredStatement(const Call& call, const std::string& target, const absl::Status& reason) -> void
 {
     constexpr auto maxReasonLength = std::size_t { 100 };
--- a/src/citronloft/edge/gateway_targets.cpp
+++ b/src/citronloft/edge/gateway_targets.cpp
@@ -190,13 +190,29 @@
 {
     if (code != ResultCode::Answered && code != ResultCode::TargetShed)
         return;
-    if (!fields.isLeaving.ok()) {
-        this->logIgnoredStatement(call, target, fields.isLeaving.status());
-        return;
-    }
     auto& targets = this->admissions.at(call.pool)->targets();
-    if (*fields.isLeaving && targets.recordLeaving(target, this->clock.now()))
+    const auto now = this->clock.now();
+    for (const auto& status : { fields.isLeaving.status(), fields.pause.status() }) {
+        if (!status.ok())
+            this->logIgnoredStatement(call, target, status);
+    }
+    if (fields.isLeaving.ok() && *fields.isLeaving && targets.recordLeaving(target, now))
         this->logLeavingTarget(call, target);
+    if (!fields.pause.ok() || !*fields.pause)
+        return;
+    if (targets.recordPause(target, now + **fields.pause, now))
+        this->logPausedTarget(call, target, **fields.pause);
+}
+
+/// Returns the delay after which a refused request can come back: if all targets that could take it have asked for a
+/// pause, the time until the first one ends.
+auto Gateway::retryAfterOf(PoolAdmission& admission) const -> Duration
+{
+    const auto now = this->clock.now();
+    const auto pauseEnd = admission.targets().earliestPauseEnd(now);
+    if (!pauseEnd || admission.targets().hasUsableTarget(now))
+        return busyRetryAfter;
+    return std::max<Duration>(*pauseEnd - now, busyRetryAfter);
 }
 
 auto Gateway::mergeLimits(const std::vector<LimitObservation>& observations) -> void
--- a/src/citronloft/edge/target_prober.cpp
+++ b/src/citronloft/edge/target_prober.cpp
@@ -18,8 +18,11 @@
 
 auto TargetProber::probe(PoolAdmission& admission, boost::asio::yield_context yield) -> void
 {
-    for (const auto& view : admission.targets().views(this->clock.now()))
-        this->probeTarget(admission, view.address, yield);
+    for (const auto& view : admission.targets().views(this->clock.now())) {
+        // A target that asked for a pause wants no probes either.
+        if (this->clock.now() >= view.pausedUntil)
+            this->probeTarget(admission, view.address, yield);
+    }
 }
 
 auto TargetProber::probeTarget(PoolAdmission& admission, const std::string& target, boost::asio::yield_context yield)
--- a/src/citronloft/policy/target_pool.cpp
+++ b/src/citronloft/policy/target_pool.cpp
@@ -315,8 +315,9 @@
 {
     auto list = std::vector<TargetView> {};
     for (const auto& member : this->members)
-        list.push_back({ member.live.target.address, member.health->state(), member.inFlight,
-            this->limitOf(member, now), member.announcedLimit.perSecond(), member.statements.isLeaving() });
+        list.push_back(
+            { member.live.target.address, member.health->state(), member.inFlight, this->limitOf(member, now),
+                member.announcedLimit.perSecond(), member.statements.isLeaving(), member.statements.pausedUntil() });
     return list;
 }
 
--- a/src/citronloft/policy/target_pool_statements.cpp
+++ b/src/citronloft/policy/target_pool_statements.cpp
@@ -18,9 +18,27 @@
     return member != nullptr && member->statements.recordLeaving(now);
 }
 
+auto TargetPool::recordPause(const std::string& key, TimePoint until, TimePoint now) -> bool
+{
+    auto* member = this->find(key);
+    return member != nullptr && member->statements.recordPause(until, now);
+}
+
+auto TargetPool::earliestPauseEnd(TimePoint now) const -> std::optional<TimePoint>
+{
+    auto earliest = std::optional<TimePoint> {};
+    for (const auto& member : this->members) {
+        const auto& statements = member.statements;
+        if (!statements.isPaused(now) || statements.isLeaving() || this->isExcluded(member, now))
+            continue;
+        earliest = std::min(earliest.value_or(TimePoint::max()), statements.pausedUntil());
+    }
+    return earliest;
+}
+
 auto TargetPool::acceptsRequests(const Member& member, TimePoint now) const -> bool
 {
-    if (this->isExcluded(member, now))
+    if (this->isExcluded(member, now) || member.statements.isPaused(now))
         return false;
     return !member.statements.isLeaving() || this->isLastResort(member, now);
 }
@@ -40,7 +58,7 @@
 {
     const auto isAlternative = [&](const Member& other) {
         return other.live.region == member.live.region && !other.statements.isLeaving()
-            && !this->isExcluded(other, now);
+            && !other.statements.isPaused(now) && !this->isExcluded(other, now);
     };
     return member.statements.acceptsLastRequests(now) && std::ranges::none_of(this->members, isAlternative);
 }
@@ -50,8 +68,9 @@
 {
     std::erase_if(this->departedStatements, [&](const auto& item) { return now >= item.second.expiresAt; });
     for (const auto& member : this->members) {
-        if (member.health && member.statements.isLeaving())
-            this->departedStatements[member.key] = { member.statements, now + statementRetention };
+        if (member.health && (member.statements.isLeaving() || member.statements.isPaused(now)))
+            this->departedStatements[member.key]
+                = { member.statements, std::max(now + statementRetention, member.statements.pausedUntil()) };
     }
 }
 
--- a/src/citronloft/policy/target_pool_statements_test.cpp
+++ b/src/citronloft/policy/target_pool_statements_test.cpp
@@ -148,5 +148,65 @@
     EXPECT_EQ(this->slots.queued(), 0U);
 }
 
+TEST_F(TargetPoolStatementsTest, PausedTargetReceivesNothingUntilThePauseEnds)
+{
+    const auto end = this->now + 1s;
+    EXPECT_TRUE(this->pool().recordPause(this->stating, end, this->now));
+    EXPECT_FALSE(this->pool().recordPause(this->stating, end - 500ms, this->now));
+    EXPECT_EQ(this->pool().earliestPauseEnd(this->now), end);
+    EXPECT_EQ(this->place(this->stating), 0);
+    this->setTargets({ targets().back() });
+    this->setTargets(targets());
+    this->now += 400ms;
+    EXPECT_EQ(this->pool().freeSlots(this->now), this->pool().freeSlots(end) / 2);
+    EXPECT_EQ(this->pool().totalSlots(this->now), this->pool().totalSlots(end) / 2);
+    this->now = end;
+    EXPECT_GT(this->place(this->stating), 0);
+    EXPECT_EQ(this->pool().earliestPauseEnd(this->now), std::nullopt);
+}
+
+TEST_F(TargetPoolStatementsTest, NewRunOfPausedTargetIsNotPaused)
+{
+    this->pool().recordPause(this->stating, this->now + 1h, this->now);
+    auto restarted = targets();
+    restarted.front().startedAtMs = 2000;
+    this->setTargets(restarted);
+    EXPECT_GT(this->place(restarted.front().key()), 0);
+}
+
+/// An answer to a request that was sent before must not end a pause.
+TEST_F(TargetPoolStatementsTest, LateAnswerDoesNotEndPause)
+{
+    while (this->pool().acquireFor({}, this->now) != this->stating) { }
+    this->pool().recordPause(this->stating, this->now + 1s, this->now);
+    this->pool().release(this->stating, TargetResult::Answered, 5ms, this->now);
+    this->pool().recordProbe(this->stating, true, this->now);
+    EXPECT_EQ(this->place(this->stating), 0);
+}
+
+TEST_F(TargetPoolStatementsTest, PausedTargetsOfferNoCapacity)
+{
+    this->pool().recordPause(this->stating, this->now + 2s, this->now);
+    EXPECT_TRUE(this->pool().hasUsableTarget(this->now));
+    this->pool().recordPause(this->other, this->now + 1s, this->now);
+    EXPECT_FALSE(this->pool().hasUsableTarget(this->now));
+    EXPECT_FALSE(this->pool().hasFreeCapacity(this->now));
+    EXPECT_EQ(this->pool().freeSlots(this->now), 0U);
+    EXPECT_EQ(this->pool().totalSlots(this->now), 0U);
+    EXPECT_EQ(this->pool().earliestPauseEnd(this->now), this->now + 1s);
+}
+
+TEST_F(TargetPoolStatementsTest, QueuedRequestIsSentToTargetWithoutPause)
+{
+    this->queueRequest();
+    const auto started = this->decisions.size();
+    this->pool().recordPause(this->stating, this->now + 2s, this->now);
+    this->releaseAll(this->stating);
+    EXPECT_EQ(this->decisions.size(), started);
+    this->releaseAll(this->other);
+    ASSERT_EQ(this->decisions.size(), started + 1);
+    EXPECT_EQ(this->decisions.back().target, this->other);
+}
+
 } // namespace
 } // namespace citronloft
--- a/src/citronloft/policy/target_statements.cpp
+++ b/src/citronloft/policy/target_statements.cpp
@@ -1,5 +1,7 @@
 #include "citronloft/policy/target_statements.hpp"
 
+#include <algorithm>
+
 namespace citronloft {
 
 namespace {
@@ -17,6 +19,13 @@
     return true;
 }
 
+auto TargetStatements::recordPause(TimePoint until, TimePoint now) -> bool
+{
+    const auto wasPaused = this->isPaused(now);
+    this->pauseEndsAt = std::max(this->pauseEndsAt, until);
+    return !wasPaused && this->isPaused(now);
+}
+
 auto TargetStatements::acceptsLastRequests(TimePoint now) const -> bool
 {
     return this->lastRequestsUntil && now < *this->lastRequestsUntil;
