--- a/include/citronloft/edge/dialect.hpp
+++ b/include/citronloft/edge/dialect.hpp
@@ -59,6 +59,11 @@
     /// Maximum rate in requests per second that the target accepts from all hosts together; nothing if the response
     /// states none, an error if it cannot be parsed.
     absl::StatusOr<std::optional<double>> rateLimit = std::optional<double> {};
+    /// Whether the target states that it is about to stop; an error if the statement cannot be parsed.
+    absl::StatusOr<bool> isLeaving = false;
+    /// Time for which the target, which refused the request, wants no others from this host; nothing if the response
+    /// states none, an error if it cannot be parsed.
+    absl::StatusOr<std::optional<std::chrono::milliseconds>> pause = std::optional<std::chrono::milliseconds> {};
 };
 
 /// @brief Parameters of a lookup.
--- a/include/citronloft/policy/target_pool.hpp
+++ b/include/citronloft/policy/target_pool.hpp
@@ -19,6 +19,7 @@
 #include "citronloft/policy/request_pacer.hpp"
 #include "citronloft/policy/target_health.hpp"
 #include "citronloft/policy/target_load.hpp"
+#include "citronloft/policy/target_statements.hpp"
 
 namespace citronloft {
 
@@ -111,6 +112,9 @@
     std::uint32_t limit = 0;
     /// Rate that the target announces, in requests per second.
     std::optional<double> announcedLimit;
+    bool isLeaving = false;
+    /// Time until which the target wants no requests from this host.
+    TimePoint pausedUntil {};
 };
 
 /// @brief The targets of one pool to which this host can send requests.
@@ -179,6 +183,18 @@
     /// this host's path to all targets.
     auto revokeEjections(TimePoint since) -> void;
 
+    /// @brief Records that a target is about to stop. This run of it gets no further requests, even if its entry says
+    /// otherwise or returns after an absence, unless no other target of its region can take them.
+    /// @return whether the target had not said so before.
+    auto recordLeaving(const std::string& key, TimePoint now) -> bool;
+
+    /// @brief Records that a target wants no requests until `until` (see TargetStatements::recordPause()).
+    /// @return whether a pause began.
+    auto recordPause(const std::string& key, TimePoint until, TimePoint now) -> bool;
+
+    /// @return earliest time at which a target that has asked for a pause accepts requests again; nothing if none has.
+    [[nodiscard]] auto earliestPauseEnd(TimePoint now) const -> std::optional<TimePoint>;
+
     /// @brief Records the result of a probe.
     auto recordProbe(const std::string& key, bool ok, TimePoint now) -> void;
 
@@ -240,6 +256,7 @@
         bool hasReport = false;
         bool reportedDraining = false;
         bool isMisdirected = false;
+        TargetStatements statements;
         AnnouncedLimit announcedLimit;
         /// Spaces requests while the target is cold or announces a limit.
         RequestPacer pacer;
@@ -256,6 +273,12 @@
         TimePoint expiresAt;
     };
 
+    /// Statements of a target that is no longer in the pool and may return.
+    struct DepartedStatements {
+        TargetStatements statements;
+        TimePoint expiresAt;
+    };
+
     struct Scored {
         double score = 0;
         double load = 0;
@@ -269,6 +292,8 @@
     auto startRequest(Member& member, TimePoint now) -> std::string;
     auto retainLimits(TimePoint now) -> void;
     auto restoreLimit(Member& member) -> void;
+    auto retainStatements(TimePoint now) -> void;
+    auto restoreStatements(Member& member) -> void;
     auto applyLimitChange(Member& member, LimitChange change, TimePoint now) -> void;
     [[nodiscard]] auto isCold(const Member& member, TimePoint now) const -> bool;
     [[nodiscard]] auto isRateLimited(const Member& member, TimePoint now) const -> bool;
@@ -282,8 +307,11 @@
     auto recordFailure(Member& member, unsigned weight, TimePoint now) -> void;
     auto recordAnswer(Member& member, TimePoint now) -> void;
     auto endEjection(Member& member, TimePoint now) -> void;
-    [[nodiscard]] auto canEject() const -> bool;
-    [[nodiscard]] auto acceptsRequests(const Member& member) const -> bool;
+    [[nodiscard]] auto isEjectionOver(const Member& member, TimePoint now) const -> bool;
+    [[nodiscard]] auto canEject(TimePoint now) const -> bool;
+    [[nodiscard]] auto acceptsRequests(const Member& member, TimePoint now) const -> bool;
+    [[nodiscard]] auto isExcluded(const Member& member, TimePoint now) const -> bool;
+    [[nodiscard]] auto isLastResort(const Member& member, TimePoint now) const -> bool;
     [[nodiscard]] auto limitOf(const Member& member, TimePoint now) const -> std::uint32_t;
     [[nodiscard]] auto loadOf(const Member& member, TimePoint now) const -> double;
 
@@ -300,6 +328,7 @@
     LimitShare limitShare;
     /// By key of the target.
     std::unordered_map<std::string, DepartedLimit> departedLimits;
+    std::unordered_map<std::string, DepartedStatements> departedStatements;
     std::vector<std::string> unreportedLimits;
     double hostFraction = 1;
     Duration meanLatency = std::chrono::milliseconds { 5 };
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -311,6 +311,7 @@
             uncertainResult = result.code;
         if (!this->allowsRetry(call, result.code) || !budget.tryRetry(attempted, this->clock.now())) {
             result.code = uncertainResult.value_or(result.code);
+            result.retryAfter = this->retryAfterOf(admission);
             return result;
         }
         const auto reason = "reason=\"" + std::string { resultInfo(result.code).name } + "\"";
@@ -357,7 +358,8 @@
         = !uncertainResult && !call.isSpilled && refusal != ResultCode::CallerGone && !this->option.discoversTargets;
     if (isForwarded)
         return this->spillRouter.forward(call, refusal, yield);
-    auto result = CallResult { uncertainResult.value_or(refusal), {}, busyRetryAfter };
+    auto& admission = *this->admissions.at(call.pool);
+    auto result = CallResult { uncertainResult.value_or(refusal), {}, this->retryAfterOf(admission) };
     result.pool = call.pool;
     result.attempts = attempt - 1;
     return result;
@@ -404,6 +406,7 @@
     this->responseFieldLog.record(target, exchange.response.fields);
     this->recordReportedLoad(admission, target, fields);
     this->recordRateLimit(call, target, code, exchange.response, fields, startedAt);
+    this->recordStatements(call, target, code, fields);
     admission.release(target, this->healthResultOf(code, exchange.response, startedAt), this->clock.now() - startedAt);
     if (code == ResultCode::Answered)
         this->recordLatency(call, this->clock.now() - startedAt);
--- a/src/citronloft/edge/gateway_targets.cpp
+++ b/src/citronloft/edge/gateway_targets.cpp
@@ -186,6 +186,37 @@
         this->logRateLimit({ target, change, perSecond }, call.pool, call.fields.requestId);
 }
 
+/// Records what a response states about further requests. A misdirected response speaks of another server.
+auto Gateway::recordStatements(const Call& call, const std::string& target, ResultCode code, const TargetFields& fields)
+    -> void
+{
+    if (code != ResultCode::Answered && code != ResultCode::TargetShed)
+        return;
+    auto& targets = this->admissions.at(call.pool)->targets();
+    const auto now = this->clock.now();
+    for (const auto& status : { fields.isLeaving.status(), fields.pause.status() }) {
+        if (!status.ok())
+            this->logIgnoredStatement(call, target, status);
+    }
+    if (fields.isLeaving.ok() && *fields.isLeaving && targets.recordLeaving(target, now))
+        this->logLeavingTarget(call, target);
+    if (!fields.pause.ok() || !*fields.pause)
+        return;
+    if (targets.recordPause(target, now + **fields.pause, now))
+        this->logPausedTarget(call, target, **fields.pause);
+}
+
+/// Returns the delay after which a refused request can come back: if all targets that could take it have asked for a
+/// pause, the time until the first one ends.
+auto Gateway::retryAfterOf(PoolAdmission& admission) const -> Duration
+{
+    const auto now = this->clock.now();
+    const auto pauseEnd = admission.targets().earliestPauseEnd(now);
+    if (!pauseEnd || admission.targets().hasUsableTarget(now))
+        return busyRetryAfter;
+    return std::max<Duration>(*pauseEnd - now, busyRetryAfter);
+}
+
 auto Gateway::mergeLimits(const std::vector<LimitObservation>& observations) -> void
 {
     for (auto& [pool, admission] : this->admissions) {
