--- a/src/citronloft/base/address.cpp
+++ b/src/citronloft/base/address.cpp
@@ -36,6 +36,9 @@
 {
     auto bits = std::array<std::uint8_t, 16> {};
     const auto copy = std::string { text };
+    // inet_pton() reads only up to a null character.
+    if (text.find('\0') != std::string_view::npos)
+        return absl::InvalidArgumentError("expected an IP address, got a null character");
     if (isIpv4(text)) {
         bits[10] = 0xff;
         bits[11] = 0xff;
