An immense announced limit no longer removes the capacity of its pool

Callers would see: requests refused for lack of capacity, because one target answered with a limit such as 1e300.

Cause: the requests that limited targets can have in flight were summed as rate x service time and converted to a 32-bit integer, where the sum overflows. On arm64 it wrapped to 0.

Ruled out: other numbers in answers. A load or a limit that cannot be parsed or is negative is ignored, and a load near 2^32 affects only the target that states it.

Change: a limited target adds at most its slots, which it could not exceed anyway.

Evidence: before, TargetPoolLimitsTest.HugeLimitDoesNotRemoveTheCapacityOfOtherTargets: Expected: (this->pool.totalSlots(this->now)) >= (capacity), actual: 0 vs 2 After: passes, with the other 107 tests of policy_test.

--- a/src/citronloft/policy/target_pool.cpp
+++ b/src/citronloft/policy/target_pool.cpp
@@ -264,19 +264,20 @@
 
 auto TargetPool::totalSlots(TimePoint now) const -> std::uint32_t
 {
+    const auto serviceSeconds = std::chrono::duration<double>(this->meanLatency).count();
     auto sum = std::uint32_t { 0 };
-    auto limitedRate = 0.0;
+    auto limitedSum = 0.0;
     for (const auto& member : this->members) {
         if (!this->acceptsRequests(member))
             continue;
+        const auto slots = this->limitOf(member, now);
+        // A rate keeps rate x service time requests in flight.
         if (member.announcedLimit.perSecond())
-            limitedRate += this->limitShareOf(member, now);
+            limitedSum += std::min(this->limitShareOf(member, now) * serviceSeconds, static_cast<double>(slots));
         else
-            sum += this->limitOf(member, now);
+            sum += slots;
     }
-    // A rate keeps rate x service time requests in flight.
-    const auto serviceSeconds = std::chrono::duration<double>(this->meanLatency).count();
-    return sum + static_cast<std::uint32_t>(std::ceil(limitedRate * serviceSeconds));
+    return sum + static_cast<std::uint32_t>(std::ceil(limitedSum));
 }
 
 auto TargetPool::inFlight() const -> std::size_t
--- a/src/citronloft/policy/target_pool_limits_test.cpp
+++ b/src/citronloft/policy/target_pool_limits_test.cpp
@@ -73,6 +73,16 @@
     EXPECT_EQ(this->pool.totalSlots(this->now), 0U);
 }
 
+TEST_F(TargetPoolLimitsTest, HugeLimitDoesNotRemoveTheCapacityOfOtherTargets)
+{
+    const auto capacity = this->pool.totalSlots(this->now);
+    ASSERT_GT(capacity, 1U);
+    this->pool.recordRateLimit(this->limited, 1e300, this->now, this->now);
+    EXPECT_GE(this->pool.totalSlots(this->now), capacity);
+    EXPECT_TRUE(this->pool.hasFreeCapacity(this->now));
+    EXPECT_GT(this->place(1000, this->limited), 300);
+}
+
 TEST_F(TargetPoolLimitsTest, CapacityOfLimitedTargetsFollowsRateAndServiceTime)
 {
     for (const auto& target : targets())
