Endless chunk sizes, trailers and foreign answers of a target are given up

Callers would see: nothing until the deadline, while the host keeps all the bytes that the target sends.

Cause: Beast limits the head and the body of an answer, but not the line of a chunk size, its extension or the trailer, and each interim head or answer to another request started a new search.

Ruled out: answers that end inside the status line, a field, an interim head, a chunk or a trailer, by end of stream or by reset, with and without a length. CutAnswerTest (24 cases) passes on the code before as well: each is reported as cut, so the caller gets the host's own complete 502. Endless status lines, fields, empty lines, bodies and bytes that are no answer were dropped before, too.

Change: the receive buffer holds at most 128 KiB of unparsed bytes, and at most 16 answers are skipped.

Evidence: before, EndlessAnswerTest.IsDroppedBeforeTheDeadline failed for ChunkSize, ChunkExtension, Trailer, InterimHeads and AnswersToOthers after 5 s with AnswerTimeout ("Which is": 3). After: all 10 cases pass, in 122 ms together; edge_test: 88 passed.

--- a/src/citronloft/edge/http_client.cpp
+++ b/src/citronloft/edge/http_client.cpp
@@ -18,6 +18,11 @@
 namespace http = boost::beast::http;
 using Tcp = asio::ip::tcp;
 
+/// Maximum number of received bytes that are not yet parsed, such as the line of a chunk size or a trailer.
+constexpr auto maxUnparsedBytes = std::size_t { 128 } * 1024;
+/// Maximum number of interim responses and responses to other requests before the response to a request.
+constexpr auto maxSkippedResponses = 16;
+
 struct Connection {
     explicit Connection(asio::io_context& context)
         : stream(context)
@@ -25,7 +30,7 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer { maxUnparsedBytes };
     TimePoint openedAt;
     TimePoint lastResponseAt;
 };
@@ -236,7 +241,7 @@
         asio::yield_context yield) -> bool
     {
         auto skippedResponse = false;
-        while (true) {
+        for (auto skipped = 0; skipped < maxSkippedResponses; ++skipped) {
             auto parser = http::response_parser<http::string_body> {};
             parser.body_limit(this->option.bodyLimitBytes);
             parser.skip(isHead);
@@ -259,6 +264,8 @@
             result.response = fromBeast(parser.release());
             return isReusable;
         }
+        result.error = ExchangeError::AnswerCut;
+        return false;
     }
 
     static auto exchangeErrorOf(const beast::error_code& error, bool gotSome) -> ExchangeError
--- /dev/null
+++ b/src/citronloft/edge/http_client_test.cpp
@@ -0,0 +1,169 @@
+#include "citronloft/edge/http_client.hpp"
+
+#include <gtest/gtest.h>
+
+#include "fakes/raw_peer.hpp"
+
+namespace citronloft {
+namespace {
+
+using namespace std::chrono_literals;
+
+class HttpClientTest : public testing::Test {
+protected:
+    /// Runs a coroutine, and the event loop until the coroutine has finished.
+    auto run(const std::function<void(boost::asio::yield_context)>& action) -> void
+    {
+        auto isFinished = false;
+        boost::asio::spawn(
+            this->context,
+            [&](boost::asio::yield_context yield) {
+                action(yield);
+                isFinished = true;
+            },
+            boost::asio::detached);
+        while (!isFinished && this->context.run_one_for(10s) > 0) { }
+        EXPECT_TRUE(isFinished);
+    }
+
+    auto post(const Address& address, const std::string& id, boost::asio::yield_context yield, Duration timeout = 5s)
+        -> Exchange
+    {
+        auto option = ExchangeOption { .deadline = this->clock.now() + timeout };
+        option.idField = "X-Id";
+        option.id = id;
+        return this->client->exchange(address, { "POST", "/x", {}, {} }, option, yield);
+    }
+
+    static auto response(unsigned status, const std::string& id, const std::string& body) -> std::string
+    {
+        const auto idLine = id.empty() ? std::string {} : "X-Id: " + id + "\r\n";
+        return "HTTP/1.1 " + std::to_string(status) + " S\r\n" + idLine
+            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    boost::asio::io_context context;
+    SteadyClock clock;
+    std::shared_ptr<HttpClient> client = makeHttpClient(context, clock);
+};
+
+struct CutCase {
+    std::string name;
+    std::string bytes;
+};
+
+auto operator<<(std::ostream& stream, const CutCase& cut) -> std::ostream& { return stream << cut.name; }
+
+class CutAnswerTest : public HttpClientTest, public testing::WithParamInterface<CutCase> { };
+
+TEST_P(CutAnswerTest, IsReportedAsCut)
+{
+    for (const auto isReset : { false, true }) {
+        auto target = RawServer(this->context, { { GetParam().bytes, true, isReset } });
+        this->run([&](boost::asio::yield_context yield) {
+            const auto exchange = this->post(target.address(), "1", yield);
+            // A reset can overtake the bytes before it.
+            const auto isOvertaken = isReset && exchange.error == ExchangeError::ConnectionLost;
+            EXPECT_TRUE(isOvertaken || exchange.error == ExchangeError::AnswerCut) << "reset: " << isReset;
+            EXPECT_TRUE(exchange.response.body.empty());
+            EXPECT_TRUE(exchange.sent);
+        });
+    }
+}
+
+auto cutCases() -> std::vector<CutCase>
+{
+    const auto line = std::string { "HTTP/1.1 200 OK\r\n" };
+    const auto chunked = line + "Transfer-Encoding: chunked\r\n\r\n";
+    return {
+        { "InVersion", "HTTP/1" },
+        { "InStatus", "HTTP/1.1 20" },
+        { "InReason", "HTTP/1.1 200 O" },
+        { "AfterStatusLine", line },
+        { "InFieldName", line + "X-Sta" },
+        { "InFieldValue", line + "X-Stamp: 12" },
+        { "InLength", line + "Content-Length: 1" },
+        { "InEndOfField", line + "Content-Length: 12\r" },
+        { "AfterLength", line + "Content-Length: 12\r\n" },
+        { "AfterLastField", line + "Content-Length: 12\r\nX-Stamp: 1\r\n" },
+        { "InEmptyLine", line + "Content-Length: 0\r\n\r" },
+        { "InInterimHead", "HTTP/1.1 103 Early Hints\r\nLink: a" },
+        { "InHeadAfterInterim", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX" },
+        { "BeforeBody", line + "Content-Length: 12\r\n\r\n" },
+        { "InBody", line + "Content-Length: 12\r\n\r\nshort" },
+        { "BeforeChunkSize", chunked },
+        { "InChunkSize", chunked + "1" },
+        { "AfterChunkSize", chunked + "a\r\n" },
+        { "InChunk", chunked + "a\r\nabc" },
+        { "AfterChunk", chunked + "3\r\nabc\r\n" },
+        { "AfterLastChunkSize", chunked + "3\r\nabc\r\n0\r\n" },
+        { "InTrailer", chunked + "3\r\nabc\r\n0\r\nX-Stamp: 1" },
+        { "AfterTrailer", chunked + "3\r\nabc\r\n0\r\nX-Stamp: 1\r\n" },
+        { "NoAnswer", "these bytes are no answer\r\n\r\n" },
+    };
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All, CutAnswerTest, testing::ValuesIn(cutCases()), [](const auto& info) { return info.param.name; });
+
+TEST_F(HttpClientTest, InterimHeadIsNoAnswer)
+{
+    auto target = RawServer(this->context, { { "HTTP/1.1 103 Early Hints\r\n\r\n", true } });
+    this->run([&](boost::asio::yield_context yield) {
+        EXPECT_EQ(this->post(target.address(), "1", yield).error, ExchangeError::ConnectionLost);
+    });
+}
+
+TEST_F(HttpClientTest, ResetEndsNoAnswerWithoutLength)
+{
+    auto target = RawServer(this->context, { { "HTTP/1.1 200 OK\r\n\r\npart", true, true } });
+    this->run([&](boost::asio::yield_context yield) {
+        EXPECT_NE(this->post(target.address(), "1", yield).error, ExchangeError::None);
+    });
+}
+
+class EndlessAnswerTest : public HttpClientTest, public testing::WithParamInterface<CutCase> { };
+
+/// The peer sends many bytes and then keeps the connection open.
+TEST_P(EndlessAnswerTest, IsDroppedBeforeTheDeadline)
+{
+    auto target = RawServer(this->context, { { GetParam().bytes } });
+    this->run([&](boost::asio::yield_context yield) {
+        const auto exchange = this->post(target.address(), "1", yield);
+        EXPECT_TRUE(exchange.error == ExchangeError::AnswerCut || exchange.error == ExchangeError::AnswerTooLarge)
+            << static_cast<int>(exchange.error);
+        EXPECT_EQ(this->client->openConnections(target.address()), 0U);
+    });
+}
+
+auto endlessCases() -> std::vector<CutCase>
+{
+    constexpr auto manyBytes = std::size_t { 20'000'000 };
+    constexpr auto manyHeads = 100;
+    const auto repeat = [](const std::string& text) {
+        auto repeated = std::string {};
+        for (auto i = 0; i < manyHeads; ++i)
+            repeated += text;
+        return repeated;
+    };
+    const auto line = std::string { "HTTP/1.1 200 OK\r\n" };
+    const auto chunked = line + "Transfer-Encoding: chunked\r\n\r\n";
+    return {
+        { "StatusLine", "HTTP/1.1 200 " + std::string(manyBytes, 'a') },
+        { "NoAnswer", std::string(manyBytes, 'a') },
+        { "EmptyLines", std::string(manyBytes, '\n') },
+        { "Field", line + "X: " + std::string(manyBytes, 'a') },
+        { "Body", line + "\r\n" + std::string(manyBytes, 'a') },
+        { "ChunkSize", chunked + std::string(manyBytes, '0') },
+        { "ChunkExtension", chunked + "1;" + std::string(manyBytes, 'a') },
+        { "Trailer", chunked + "0\r\nX: " + std::string(manyBytes, 'a') },
+        { "InterimHeads", repeat("HTTP/1.1 103 Early Hints\r\n\r\n") },
+        { "AnswersToOthers", repeat("HTTP/1.1 200 OK\r\nX-Id: 9\r\nContent-Length: 1\r\n\r\na") },
+    };
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All, EndlessAnswerTest, testing::ValuesIn(endlessCases()), [](const auto& info) { return info.param.name; });
+
+} // namespace
+} // namespace citronloft
--- a/tests/fakes/raw_peer.hpp
+++ b/tests/fakes/raw_peer.hpp
@@ -24,6 +24,8 @@
     struct Script {
         std::string bytes;
         bool close = false;
+        /// Closes with a reset instead of an end of stream; has no effect without `close`.
+        bool reset = false;
     };
 
     RawServer(boost::asio::io_context& context, std::vector<Script> scripts)
@@ -74,10 +76,12 @@
             if (index >= this->scripts.size())
                 continue;
             boost::asio::async_write(socket, boost::asio::buffer(this->scripts[index].bytes), yield[error]);
-            if (this->scripts[index].close) {
-                socket.close(error);
-                return;
-            }
+            if (!this->scripts[index].close)
+                continue;
+            if (this->scripts[index].reset)
+                socket.set_option(boost::asio::socket_base::linger(true, 0), error);
+            socket.close(error);
+            return;
         }
     }
 
