Names of quarantines with numbers out of range are refused; their log lines are bounded

Operators would see: a request in quarantine for years, or for a time that overflowed, because of one odd name; a log line for each malformed name after each change of the list, and one for each change of a malformed target entry.

Cause: the end of a quarantine was converted from seconds to nanoseconds without a check of its range. Malformed names and entries were logged without a limit.

Ruled out: names without a number, with one above 64 bits or with other characters were malformed before.

Evidence: before, QuarantineRegistryTest.NamesWithNumbersOutOfRangeQuarantineNothing: Value of: this->quarantined Expected: is empty Actual: { 2748 }, whose size is 1 After: passes. The limit of the log lines has no test.

--- a/include/citronloft/fleet/discovery.hpp
+++ b/include/citronloft/fleet/discovery.hpp
@@ -13,6 +13,7 @@
 
 #include <absl/status/statusor.h>
 
+#include "citronloft/base/log_limiter.hpp"
 #include "citronloft/base/metrics.hpp"
 #include "citronloft/fleet/config_follower.hpp"
 #include "citronloft/fleet/messages.hpp"
@@ -107,6 +108,7 @@
     auto updateTargets(const ObjectMirror::Objects& objects) -> void;
     auto updateEvacuatedZones(const ObjectMirror::Objects& objects) -> void;
     auto decode(const MirroredObject& object) -> std::optional<TargetEntry>;
+    auto logIgnored(const MirroredObject& object, const absl::Status& reason) -> void;
     auto update(const MirroredObject& object, const std::optional<CachedEntry>& known) -> CachedEntry;
     auto recordDepartures(const ObjectMirror::Objects& objects) -> void;
 
@@ -114,6 +116,7 @@
     Metrics& metrics;
     std::shared_ptr<const PlatformDecoder> decoder;
     DiscoveryListener listener;
+    LogLimiter logLimiter;
     std::shared_ptr<ObjectMirror> configs;
     std::shared_ptr<ObjectMirror> targets;
     std::shared_ptr<ObjectMirror> evacuations;
--- a/include/citronloft/fleet/quarantine_registry.hpp
+++ b/include/citronloft/fleet/quarantine_registry.hpp
@@ -14,6 +14,7 @@
 #include <pcg_random.hpp>
 
 #include "citronloft/base/clock.hpp"
+#include "citronloft/base/log_limiter.hpp"
 #include "citronloft/fleet/object_store.hpp"
 
 namespace citronloft {
@@ -62,6 +63,7 @@
 
     auto processMissing(TimePoint now, const std::set<std::string>& names) -> void;
     auto processPresent(TimePoint now, const std::set<std::string>& names) -> void;
+    auto logMalformed(const std::string& name, TimePoint now) -> void;
     [[nodiscard]] auto rewriteTime(const std::string& name, TimePoint now) -> TimePoint;
     auto writeNext(TimePoint now) -> void;
     auto poll(TimePoint now) -> void;
@@ -74,6 +76,7 @@
     std::optional<Duration> pollInterval;
     pcg32 random;
     QuarantineListener listener;
+    LogLimiter logLimiter;
     /// Known objects, by name.
     std::map<std::string, Entry> entries;
     /// Names of the objects that are to be written, and from when on.
--- a/src/citronloft/fleet/discovery.cpp
+++ b/src/citronloft/fleet/discovery.cpp
@@ -196,10 +196,7 @@
     auto entry = this->decoder->decodeTarget(object);
     if (!entry.ok()) {
         this->metrics.count("citronloft_malformed_objects_total", "kind=\"target\"");
-        LogEvent(LogLevel::Warning, "target-ignored")
-            .with("name", object.name)
-            .with("revision", formatRevision(object.revision))
-            .with("reason", std::string { entry.status().message() });
+        this->logIgnored(object, entry.status());
         return std::nullopt;
     }
     if (entry->coldFor.count() > 0)
@@ -214,6 +211,18 @@
     return *std::move(entry);
 }
 
+auto Discovery::logIgnored(const MirroredObject& object, const absl::Status& reason) -> void
+{
+    auto suppressedLines = std::uint64_t { 0 };
+    if (!this->logLimiter.allow("target-ignored", this->clock.now(), suppressedLines))
+        return;
+    LogEvent(LogLevel::Warning, "target-ignored")
+        .with("name", object.name)
+        .with("revision", formatRevision(object.revision))
+        .with("reason", std::string { reason.message() })
+        .with("suppressed", suppressedLines);
+}
+
 auto Discovery::updateEvacuatedZones(const ObjectMirror::Objects& objects) -> void
 {
     this->listener.onEvacuatedZones(namesOf(objects));
--- a/src/citronloft/fleet/quarantine_registry.cpp
+++ b/src/citronloft/fleet/quarantine_registry.cpp
@@ -20,6 +20,8 @@
 constexpr auto writerTime = std::chrono::seconds { 3 };
 /// Period over which the other hosts spread their writes of an object whose writer has not written it again.
 constexpr auto rewriteSpread = std::chrono::seconds { 10 };
+/// Maximum time to the end of a quarantine that a name can state; much longer than that of any host.
+constexpr auto maxTimeLeft = std::chrono::hours { 24 };
 
 template <typename Number> auto parseNumber(std::string_view text, int base) -> std::optional<Number>
 {
@@ -90,7 +92,7 @@
         }
         const auto entry = this->parse(name);
         if (!entry) {
-            LogEvent(LogLevel::Warning, "quarantine-malformed").with("name", name);
+            this->logMalformed(name, now);
             continue;
         }
         if (now >= entry->until)
@@ -100,6 +102,14 @@
     }
 }
 
+auto QuarantineRegistry::logMalformed(const std::string& name, TimePoint now) -> void
+{
+    auto suppressedLines = std::uint64_t { 0 };
+    if (!this->logLimiter.allow("quarantine-malformed", now, suppressedLines))
+        return;
+    LogEvent(LogLevel::Warning, "quarantine-malformed").with("name", name).with("suppressed", suppressedLines);
+}
+
 /// The objects of one writer must not be written by the whole fleet at once.
 auto QuarantineRegistry::rewriteTime(const std::string& name, TimePoint now) -> TimePoint
 {
@@ -166,9 +176,12 @@
     const auto end = separatorAt == name.size()
         ? std::nullopt
         : parseNumber<std::int64_t>(std::string_view { name }.substr(separatorAt + 1), decimal);
-    if (!request || !end)
+    const auto wallNow = this->wallClock();
+    const auto latestEnd = std::chrono::duration_cast<std::chrono::seconds>((wallNow + maxTimeLeft).time_since_epoch());
+    const auto seconds = std::chrono::seconds { end.value_or(-1) };
+    if (request.value_or(0) == 0 || seconds.count() < 0 || seconds > latestEnd)
         return std::nullopt;
-    const auto left = std::chrono::system_clock::time_point { std::chrono::seconds { *end } } - this->wallClock();
+    const auto left = std::chrono::system_clock::time_point { seconds } - wallNow;
     return Entry { *request, this->clock.now() + std::chrono::duration_cast<Duration>(left), this->store->era() };
 }
 
--- a/src/citronloft/fleet/quarantine_registry_test.cpp
+++ b/src/citronloft/fleet/quarantine_registry_test.cpp
@@ -158,5 +158,17 @@
     EXPECT_EQ(this->store->objects.size(), 1U);
 }
 
+TEST_F(QuarantineRegistryTest, NamesWithNumbersOutOfRangeQuarantineNothing)
+{
+    for (const auto* end : { "9223372036854775807", "-9223372036854775808", "9223372036854", "99999999999999999999",
+             "1800000000", "", "1e9" })
+        this->registry->update({ std::string { "0000000000000abc_" } + end });
+    this->registry->update({ "_1700004200", "0_1700004200", "fffffffffffffffff_1700004200", "abc" });
+    EXPECT_THAT(this->quarantined, IsEmpty());
+    EXPECT_THAT(this->lifted, IsEmpty());
+    this->registry->update(this->namesOfOtherHost());
+    EXPECT_THAT(this->quarantined, ElementsAre(0xabcU));
+}
+
 } // namespace
 } // namespace citronloft
