Hosts that reach no targets say so, and look-ups omit them

Callers would see: look-ups go on to name a host that can serve nothing, for as long as the cut lasts.

Cause: the membership tells whether a host lives and serves, not whether it reaches targets.

Change: Gateway::setReachesTargets() publishes the state with the host's entry, as a change of revision that is gossiped with the next tick and goes to other zones in their summaries. Look-ups omit such hosts unless no other host of the zone is left. If no host of a zone reaches targets, the planner moves its callers as from a zone without serving hosts; those that may not move yet still get the zone's hosts. If no host of any zone reaches targets, all are named as usual. The host stays ready.

On the wire the state is one bit of the entry's state byte, set only while the host serves. Weighed: a new field, which hosts of older versions can't decode, so that two versions would not know each other during an update. Older hosts read the bit as a state that is not Serving and not Stopped, and omit the host (HostEntry.HostWithoutTargetsDoesNotServeForOlderVersions).

--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -87,8 +87,8 @@
     /// @brief Updates the limits of targets from the observations of other hosts.
     auto mergeLimits(const std::vector<LimitObservation>& observations) -> void;
 
-    /// @brief Sets whether this host reaches targets at all.
-    auto setReachesTargets(bool reaches) -> void { this->reachesTargets = reaches; }
+    /// @brief Sets whether this host reaches targets at all. While it does not, look-ups omit it.
+    auto setReachesTargets(bool reaches) -> void;
 
     /// @brief Handles one request.
     auto handle(HttpRequest& request, CallerContext& caller, boost::asio::yield_context yield) -> HttpResponse;
--- a/include/citronloft/edge/lookup_service.hpp
+++ b/include/citronloft/edge/lookup_service.hpp
@@ -19,6 +19,10 @@
 inline constexpr auto lookupPath = "/citronloft/v1/lookup";
 
 /// @brief Selects the zone for each lookup and returns the zone's serving hosts.
+///
+/// Hosts that do not reach targets are omitted, unless no other host of the zone is left. A zone in which no host
+/// reaches targets is treated like one without serving hosts while another zone has such hosts, except that callers
+/// that may not move yet are still sent to it.
 class LookupService {
 public:
     /// @param dialect must outlive the service.
@@ -46,11 +50,14 @@
     /// Serving hosts of one zone and the response that lists them.
     struct ZoneHosts {
         std::vector<std::string> hosts;
+        bool reachesTargets = false;
         /// Built on the first lookup after a change.
         std::optional<HttpResponse> response;
     };
 
     [[nodiscard]] auto hasServingHost(const std::string& zone) const -> bool { return this->zoneHosts.contains(zone); }
+    [[nodiscard]] auto acceptsCallers(const std::string& zone) const -> bool;
+    [[nodiscard]] auto chooseZone(const LookupQuery& query, const std::string& ip) const -> std::optional<std::string>;
     auto updateHosts(const std::string& zone) -> void;
 
     const Membership& membership;
@@ -62,6 +69,8 @@
     std::uint64_t version = 0;
     /// Zones with at least one serving host.
     std::map<std::string, ZoneHosts> zoneHosts;
+    /// Whether any host of any zone reaches targets.
+    bool reachesTargets = false;
     TimePoint nextRebuildAt {};
 };
 
--- a/include/citronloft/fleet/membership.hpp
+++ b/include/citronloft/fleet/membership.hpp
@@ -65,6 +65,9 @@
     /// @brief Sets this host's lifecycle state; a change is sent to peers with the next tick.
     auto setState(HostState state) -> void;
 
+    /// @brief Sets whether this host reaches targets; a change is sent to peers with the next tick.
+    auto setReachesTargets(bool reaches) -> void;
+
     /// @brief Sets this host's free capacity.
     auto setHeadroom(std::vector<PoolHeadroom> headroom) -> void { this->own.headroom = std::move(headroom); }
 
--- a/include/citronloft/fleet/messages.hpp
+++ b/include/citronloft/fleet/messages.hpp
@@ -40,6 +40,8 @@
     std::uint16_t servicePort = 0;
     std::uint16_t statusPort = 0;
     HostState state = HostState::Joining;
+    /// Whether the host can connect to targets; otherwise it forwards its requests to other hosts.
+    bool reachesTargets = true;
     /// Incremented with every heartbeat.
     std::uint32_t counter = 0;
     /// Incremented when any field except `counter` and `headroom` changes.
@@ -48,14 +50,31 @@
     std::vector<PoolHeadroom> headroom;
 
     [[nodiscard]] auto isLive() const -> bool { return this->state != HostState::Stopped; }
+    [[nodiscard]] auto isServing() const -> bool { return this->state == HostState::Serving; }
     [[nodiscard]] auto peerAddress() const -> Address { return { this->ip, this->peerPort }; }
     [[nodiscard]] auto serviceAddress() const -> Address { return { this->ip, this->servicePort }; }
 
-    template <typename Archive> auto serialize(Archive& archive) -> void
+    template <typename Archive> auto save(Archive& archive) const -> void
+    {
+        const auto mark = this->isServing() && !this->reachesTargets ? withoutTargetsBit : std::uint8_t { 0 };
+        const auto markedState = static_cast<std::uint8_t>(static_cast<std::uint8_t>(this->state) | mark);
+        archive(this->incarnation, this->ip, this->peerPort, this->servicePort, this->statusPort, markedState,
+            this->counter, this->revision, this->headroom);
+    }
+
+    template <typename Archive> auto load(Archive& archive) -> void
     {
-        archive(this->incarnation, this->ip, this->peerPort, this->servicePort, this->statusPort, this->state,
+        auto markedState = std::uint8_t { 0 };
+        archive(this->incarnation, this->ip, this->peerPort, this->servicePort, this->statusPort, markedState,
             this->counter, this->revision, this->headroom);
+        this->reachesTargets = (markedState & withoutTargetsBit) == 0;
+        this->state = static_cast<HostState>(markedState & ~withoutTargetsBit);
     }
+
+private:
+    /// Marks the state of a serving host that does not reach targets. Hosts of older versions read such a state as one
+    /// that is not Serving.
+    static constexpr auto withoutTargetsBit = std::uint8_t { 0x80 };
 };
 
 /// @brief State of a host that only the host itself sends and that is not forwarded.
--- a/programs/citronloftd/host.hpp
+++ b/programs/citronloftd/host.hpp
@@ -32,6 +32,9 @@
     /// @brief Replaces the client for requests to targets and other hosts; to be called before start().
     auto useHttpClient(std::shared_ptr<HttpClient> client) -> void { this->httpClient = std::move(client); }
 
+    /// @brief Sets whether this host reaches targets; see Gateway::setReachesTargets().
+    auto setReachesTargets(bool reaches) -> void { this->gateway->setReachesTargets(reaches); }
+
     /// @brief Opens all sockets and starts all components.
     auto start() -> absl::Status;
 
--- a/programs/citronloftd/host_status.cpp
+++ b/programs/citronloftd/host_status.cpp
@@ -60,7 +60,7 @@
     auto peers = nlohmann::json::array();
     for (const auto& peer : this->fleet->membership().zonePeers())
         peers.push_back({ { "address", formatAddress(peer.peerAddress()) }, { "state", hostStateName(peer.state) },
-            { "status", formatAddress({ peer.ip, peer.statusPort }) } });
+            { "reaches_targets", peer.reachesTargets }, { "status", formatAddress({ peer.ip, peer.statusPort }) } });
     auto remote = nlohmann::json::array();
     for (const auto& host : this->fleet->membership().remoteHosts())
         remote.push_back({ { "address", formatAddress(host.peerAddress()) }, { "zone", host.zone },
@@ -76,6 +76,7 @@
         { "incarnation", std::to_string(self.incarnation) },
         { "zone", self.zone },
         { "state", hostStateName(this->lifecycle->state()) },
+        { "reaches_targets", self.reachesTargets },
         { "config_version", vitals.configVersion },
         { "config_age_ms", age.count() },
         { "steward_epoch", vitals.leaderEpoch },
--- a/src/citronloft/edge/lookup_service.cpp
+++ b/src/citronloft/edge/lookup_service.cpp
@@ -1,5 +1,7 @@
 #include "citronloft/edge/lookup_service.hpp"
 
+#include <algorithm>
+
 namespace citronloft {
 
 namespace {
@@ -34,7 +36,9 @@
     this->nextRebuildAt = now + rebuildInterval;
     for (const auto& zone : this->zoneNames)
         this->updateHosts(zone);
-    this->lookupPlanner.tick([this](const std::string& zone) { return this->hasServingHost(zone); }, now);
+    this->reachesTargets
+        = std::ranges::any_of(this->zoneHosts, [](const auto& item) { return item.second.reachesTargets; });
+    this->lookupPlanner.tick([this](const std::string& zone) { return this->acceptsCallers(zone); }, now);
 }
 
 auto LookupService::refresh(TimePoint now) -> void
@@ -47,9 +51,7 @@
 {
     const auto query = this->dialect.parseLookup(request);
     const auto& ip = query.callerIp.empty() ? callerIp : query.callerIp;
-    const auto isZoneAvailable = [this](const std::string& name) { return this->hasServingHost(name); };
-    const auto zone = query.zone.empty() ? this->lookupPlanner.zoneFor(ip, isZoneAvailable)
-                                         : this->lookupPlanner.zoneFor(query.zone, ip, isZoneAvailable);
+    const auto zone = this->chooseZone(query, ip);
     if (!zone || !this->hasServingHost(*zone)) {
         auto response = HttpResponse {};
         response.status = 503;
@@ -61,20 +63,42 @@
     return *zoneEntry.response;
 }
 
+auto LookupService::acceptsCallers(const std::string& zone) const -> bool
+{
+    const auto found = this->zoneHosts.find(zone);
+    return found != this->zoneHosts.end() && (found->second.reachesTargets || !this->reachesTargets);
+}
+
+auto LookupService::chooseZone(const LookupQuery& query, const std::string& ip) const -> std::optional<std::string>
+{
+    const auto choose = [&](const LookupPlanner::ZoneIsUp& isUp) {
+        return query.zone.empty() ? this->lookupPlanner.zoneFor(ip, isUp)
+                                  : this->lookupPlanner.zoneFor(query.zone, ip, isUp);
+    };
+    const auto zone = choose([this](const std::string& name) { return this->acceptsCallers(name); });
+    // The hosts of a zone without targets still serve the callers that may not move yet, through other hosts.
+    return zone ? zone : choose([this](const std::string& name) { return this->hasServingHost(name); });
+}
+
 auto LookupService::updateHosts(const std::string& zone) -> void
 {
     auto hosts = std::vector<std::string> {};
+    auto withoutTargets = std::vector<std::string> {};
     for (const auto& host : this->membership.hostsOf(zone)) {
-        if (host.state == HostState::Serving)
-            hosts.push_back(formatAddress(host.serviceAddress()));
+        if (host.isServing())
+            (host.reachesTargets ? hosts : withoutTargets).push_back(formatAddress(host.serviceAddress()));
     }
+    const auto reaches = !hosts.empty();
+    if (!reaches)
+        hosts = std::move(withoutTargets);
     const auto zoneEntry = this->zoneHosts.find(zone);
-    if (zoneEntry != this->zoneHosts.end() && zoneEntry->second.hosts == hosts)
+    if (zoneEntry != this->zoneHosts.end() && zoneEntry->second.hosts == hosts
+        && zoneEntry->second.reachesTargets == reaches)
         return;
     if (hosts.empty())
         this->zoneHosts.erase(zone);
     else
-        this->zoneHosts[zone] = { std::move(hosts), std::nullopt };
+        this->zoneHosts[zone] = { std::move(hosts), reaches, std::nullopt };
 }
 
 } // namespace citronloft
--- a/src/citronloft/fleet/membership.cpp
+++ b/src/citronloft/fleet/membership.cpp
@@ -79,6 +79,15 @@
     this->gossipOnNextTick();
 }
 
+auto Membership::setReachesTargets(bool reaches) -> void
+{
+    if (this->own.reachesTargets == reaches)
+        return;
+    this->own.reachesTargets = reaches;
+    ++this->own.revision;
+    this->gossipOnNextTick();
+}
+
 auto Membership::updateHeadroom(std::uint64_t incarnation, std::vector<PoolHeadroom> headroom) -> void
 {
     const auto member = this->members.find(incarnation);
