A host that reaches no targets serves its callers through other hosts

Callers keep the host until their look-ups expire.

Cause: with discovery a host sends requests to targets itself and never passes one on to another host.

Ruled out: to answer 503 at once, or to leave look-ups only; callers' first tries at the host still fail then (docs/design/cut-off.md).

Change: - While the path is lost, a request is forwarded after authorization, rate and quarantine, before any local attempt; queued requests leave the queue at once. Up to three hosts each of the own zone, the region and other regions, in random order; only hosts that serve and reach targets, and for requests with homes only those of a home region. A host that could not be reached or refused for lack of a path is omitted for 1 s. - One hop: a host without targets refuses a forwarded request at once, as not run. If no host is left, the request is tried locally. - The signed ticket has a reason and the number of targets that may still be tried; forwarded requests without a path are queued like those of the receiver's own callers. The receiver checks the quarantine. - Answers to forwarded requests carry result code and number of targets in Citronloft-Spill-Result, in every dialect; the sender removes it. The ticket no longer reaches targets (the platform's dialect passed it on). - What was not sent, since the connection failed, is forwarded for every kind of request, also before the loss of the path is known (then after the local retries and to one host). A safe request whose attempt was lost is forwarded as a retry from the budget. An unsafe one that was sent never is. - Log request-forwarded, 10 lines a second a result; counter citronloft_spills_total as before.

No check is dropped.

Conclusion: with the loss of the path known, a cut host serves as the others do.

--- a/include/citronloft/edge/call.hpp
+++ b/include/citronloft/edge/call.hpp
@@ -9,6 +9,7 @@
 #include "citronloft/base/result_code.hpp"
 #include "citronloft/edge/dialect.hpp"
 #include "citronloft/edge/http_server.hpp"
+#include "citronloft/edge/spill.hpp"
 #include "citronloft/fleet/config_follower.hpp"
 #include "citronloft/policy/key_table.hpp"
 #include "citronloft/policy/route_table.hpp"
@@ -48,6 +49,10 @@
     CallerContext* caller = nullptr;
     TimePoint deadline;
     bool isSpilled = false;
+    /// Reason for which another host forwarded the request, if it did.
+    SpillReason spillReason = SpillReason::NoCapacity;
+    /// Maximum number of targets to which the request may be sent.
+    unsigned maxAttempts = 1;
     /// computeRequestIdentity(), once it is needed; 0 before.
     std::uint64_t identity = 0;
 };
@@ -61,6 +66,8 @@
     std::string target {};
     std::string pool {};
     unsigned attempts = 0;
+    /// Number of targets to which the request was sent; connections that failed are not counted.
+    unsigned sent = 0;
 };
 
 /// @brief Builds the request that is sent to a target or another host.
--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -38,8 +38,8 @@
     HttpClientOption client;
     /// Client for requests to targets and other hosts; null creates one with the options in `client`.
     std::shared_ptr<HttpClient> httpClient;
-    /// Whether targets of all zones are found by discovery and requests are sent to them directly. If so, no request is
-    /// forwarded to another host.
+    /// Whether targets of all zones are found by discovery and requests are sent to them directly. If so, requests are
+    /// forwarded to other hosts only while this host does not reach targets.
     bool discoversTargets = false;
     /// Whether lookups are also answered on the service port.
     bool servesLookups = true;
@@ -87,7 +87,8 @@
     /// @brief Updates the limits of targets from the observations of other hosts.
     auto mergeLimits(const std::vector<LimitObservation>& observations) -> void;
 
-    /// @brief Sets whether this host reaches targets at all. While it does not, look-ups omit it.
+    /// @brief Sets whether this host reaches targets at all. While it does not, it forwards requests to hosts that do,
+    /// and look-ups omit it.
     auto setReachesTargets(bool reaches) -> void;
 
     /// @brief Handles one request.
@@ -126,6 +127,18 @@
         Claim claim;
     };
 
+    /// Progress of one request over its attempts.
+    struct Progress {
+        /// Number of targets to which the request was sent.
+        unsigned sent = 0;
+        /// Result of an attempt that may have run; a later attempt that did not run does not change it.
+        std::optional<ResultCode> uncertainResult;
+        /// Whether the connection for the last attempt failed.
+        bool isUnsent = false;
+        /// Whether the request was offered to other hosts.
+        bool wasForwarded = false;
+    };
+
     auto answerLookup(const HttpRequest& request, const CallerContext& caller) -> HttpResponse;
     auto dispatch(HttpRequest& request, CallerContext& caller, boost::asio::yield_context yield) -> CallResult;
     auto handleCaller(Call& call, boost::asio::yield_context yield) -> CallResult;
@@ -143,6 +156,14 @@
     auto setDeadline(Call& call) const -> void;
     auto admitRate(const Call& call, boost::asio::yield_context yield) -> RateDecision;
     [[nodiscard]] auto isStillAuthorized(const Call& call) const -> bool;
+    [[nodiscard]] auto reasonNotToSend(Call& call, const Progress& progress) const -> std::optional<ResultCode>;
+    [[nodiscard]] auto lacksPath(const Progress& progress) const -> bool;
+    auto leaveHost(Call& call, const TargetRequirements& requirements, Progress& progress,
+        boost::asio::yield_context yield) -> std::optional<CallResult>;
+    auto passOnUnsent(Call& call, const TargetRequirements& requirements, Progress& progress,
+        boost::asio::yield_context yield) -> std::optional<CallResult>;
+    auto passOn(Call& call, const TargetRequirements& requirements, Progress& progress, std::size_t maxHosts,
+        boost::asio::yield_context yield) -> std::optional<CallResult>;
     [[nodiscard]] auto isQuarantined(Call& call) const -> bool;
     auto recordOutcome(Call& call, ResultCode code, const std::string& target) -> void;
     auto claimIdempotencyKey(const Call& call, boost::asio::yield_context yield) -> std::optional<ClaimResult>;
@@ -150,8 +171,8 @@
     auto runAttempts(Call& call, boost::asio::yield_context yield) -> CallResult;
     auto runAttempt(Call& call, PoolAdmission& admission, const std::string& target, bool isFirstAttempt,
         boost::asio::yield_context yield) -> CallResult;
-    auto finishWithoutTarget(Call& call, std::optional<ResultCode> uncertainResult, ResultCode refusal,
-        unsigned attempt, boost::asio::yield_context yield) -> CallResult;
+    auto finishWithoutTarget(Call& call, const Progress& progress, ResultCode refusal, unsigned attempt,
+        boost::asio::yield_context yield) -> CallResult;
     auto recordReportedLoad(PoolAdmission& admission, const std::string& target, const TargetFields& fields) -> void;
     auto recordRateLimit(const Call& call, const std::string& target, ResultCode code, const HttpResponse& response,
         const TargetFields& fields, TimePoint sentAt) -> void;
--- a/include/citronloft/edge/pool_admission.hpp
+++ b/include/citronloft/edge/pool_admission.hpp
@@ -30,6 +30,9 @@
         return this->slots.tryAcquire(reservedFraction, this->clock.now());
     }
 
+    /// @brief Refuses every queued request.
+    auto refuseQueued(ResultCode reason) -> void { this->slots.refuseQueued(reason); }
+
     /// @brief Releases a slot and grants it to the next queued request.
     auto release(const std::string& target, TargetResult result, Duration latency) -> void
     {
--- a/include/citronloft/edge/spill.hpp
+++ b/include/citronloft/edge/spill.hpp
@@ -1,14 +1,17 @@
 /// @file
-/// @brief Signed tickets that authenticate requests forwarded to entry hosts of other zones.
+/// @brief Signed tickets that authenticate requests forwarded to other hosts, and the results that these report.
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 #include <absl/status/statusor.h>
 
 #include "citronloft/base/clock.hpp"
+#include "citronloft/base/result_code.hpp"
 #include "citronloft/edge/http_message.hpp"
 
 namespace citronloft {
@@ -16,14 +19,50 @@
 /// @brief Header field that marks a forwarded request and carries its ticket.
 inline constexpr auto spillHeader = "Citronloft-Spill";
 
+/// @brief Header field of the response to a forwarded request that carries its SpillResult; never sent to callers.
+inline constexpr auto spillResultHeader = "Citronloft-Spill-Result";
+
+/// @brief Reason for which a request is forwarded.
+enum class SpillReason : std::uint8_t {
+    /// The sending host's zone has no free slot. The receiving host admits the request only if it has free slots.
+    NoCapacity,
+    /// The sending host does not reach targets. The receiving host queues the request like those of its own callers.
+    NoPath,
+    /// The sending host could not connect to the target. The request is queued likewise; the sending host has counted
+    /// it
+    /// in its retry budget.
+    ConnectFailed,
+};
+
+/// @return name of a reason, for logs.
+auto spillReasonName(SpillReason reason) -> std::string_view;
+
 /// @brief Content of a ticket; the sending host confirms that the request was authorized for this team and route.
 struct SpillTicket {
     /// Empty if the route is open.
     std::string team;
     std::string route;
     std::uint64_t nonce = 0;
+    SpillReason reason = SpillReason::NoCapacity;
+    /// Maximum number of targets to which the receiving host may send the request.
+    unsigned attempts = 1;
 };
 
+/// @brief Result of a forwarded request, as reported by the receiving host.
+struct SpillResult {
+    ResultCode code = ResultCode::PeerLost;
+    /// Number of targets to which the request was sent.
+    unsigned sent = 0;
+
+    auto operator==(const SpillResult&) const -> bool = default;
+};
+
+/// @return the value of the spill result header.
+auto formatSpillResult(const SpillResult& result) -> std::string;
+
+/// @return the result; nothing if the text is malformed or the code unknown.
+auto parseSpillResult(std::string_view text) -> std::optional<SpillResult>;
+
 /// @brief Signs and verifies tickets with the fleet's secret; each ticket is accepted once.
 class SpillSigner {
 public:
--- a/include/citronloft/policy/slot_allocator.hpp
+++ b/include/citronloft/policy/slot_allocator.hpp
@@ -48,6 +48,9 @@
     /// @brief Removes a queued request without calling `done`.
     auto cancel(std::uint64_t id) -> void;
 
+    /// @brief Refuses every queued request.
+    auto refuseQueued(ResultCode reason) -> void;
+
     /// @brief Allocates a slot only if enough are free and no request of this zone's callers is queued.
     /// @param reservedFraction fraction of the slots that is reserved for this zone's callers.
     auto tryAcquire(double reservedFraction, TimePoint now) -> SlotDecision;
--- a/src/citronloft/edge/call.cpp
+++ b/src/citronloft/edge/call.cpp
@@ -15,7 +15,9 @@
     fields.team = call.team == nullptr ? std::string {} : call.team->name;
     fields.remainingTime = std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - now);
     fields.instance = instance;
-    return dialect.makeTargetRequest(*call.request, fields);
+    auto request = dialect.makeTargetRequest(*call.request, fields);
+    request.fields.remove(spillHeader);
+    return request;
 }
 
 /// The digest is cryptographic, so that a caller cannot prepare a request that is taken for another one.
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -60,6 +60,14 @@
     return TargetResult::Answered;
 }
 
+/// Returns whether an attempt with this result counts as sent to its target.
+auto wasSent(ResultCode code) -> bool
+{
+    constexpr auto unsentCodes
+        = std::to_array({ ResultCode::ConnectFailed, ResultCode::TargetReplaced, ResultCode::NoTarget });
+    return std::ranges::find(unsentCodes, code) == unsentCodes.end();
+}
+
 /// Factory functions, indexed by QueueStrategy.
 constexpr auto queueFactories = std::to_array({ makeFairQueue, makeFifoQueue, makeUrgencyQueue });
 
@@ -80,7 +88,8 @@
     , spillRouter(clock, metrics, fleet, client, *dialect,
           { .zone = this->option.zone,
               .fleetSecret = this->option.fleetSecret,
-              .nonIdempotentMaxIdleTime = this->option.nonIdempotentMaxIdleTime })
+              .nonIdempotentMaxIdleTime = this->option.nonIdempotentMaxIdleTime,
+              .chargesShifts = !this->option.discoversTargets })
 {
 }
 
@@ -153,6 +162,7 @@
         = call.snapshot->routes.find(call.request->method, call.request->fields.get("Host"), call.request->target);
     if (call.route == nullptr)
         return { ResultCode::RouteUnknown, {}, {} };
+    call.maxAttempts = call.route->attempts;
     this->choosePool(call);
     if (const auto code = this->authorize(call); code != ResultCode::Answered)
         return { code, {}, {} };
@@ -282,32 +292,41 @@
 {
     auto& admission = *this->admissions.at(call.pool);
     auto& budget = this->retryBudgets.at(call.pool);
-    budget.recordFirstAttempt();
+    // A request adds to the budget of one host, even if it is forwarded.
+    if (this->reachesTargets && call.spillReason != SpillReason::ConnectFailed)
+        budget.recordFirstAttempt();
     auto requirements = this->requirementsOf(call);
-    auto uncertainResult = std::optional<ResultCode> {};
+    auto progress = Progress {};
+    const auto takesFreeSlotOnly = call.isSpilled && call.spillReason == SpillReason::NoCapacity;
     for (auto attempt = 1U;; ++attempt) {
-        const auto slot = call.isSpilled && attempt == 1
+        if (auto result = this->leaveHost(call, requirements, progress, yield))
+            return *std::move(result);
+        const auto slot = takesFreeSlotOnly && attempt == 1
             ? admission.tryAcquire(this->option.reservedLocalFraction)
             : admission.acquire(this->slotRequestOf(call, requirements), *call.caller, yield);
-        if (slot.target.empty())
-            return this->finishWithoutTarget(call, uncertainResult, slot.refusal, attempt, yield);
-        // The caller may have disconnected while the request waited for a slot.
-        if (call.caller->isDisconnected()) {
-            admission.release(slot.target, TargetResult::Abandoned, {});
-            return { ResultCode::CallerGone, {}, {} };
+        const auto isGranted = !slot.target.empty();
+        // The path may have been lost while the request waited for a slot.
+        if (this->lacksPath(progress) && slot.refusal != ResultCode::CallerGone) {
+            if (isGranted)
+                admission.release(slot.target, TargetResult::Abandoned, {});
+            --attempt;
+            continue;
         }
-        if (!this->isStillAuthorized(call)) {
-            admission.release(slot.target, TargetResult::Abandoned, {});
-            return { uncertainResult.value_or(ResultCode::KeyUnknown), {}, {} };
+        if (!isGranted) {
+            if (auto forwarded = this->passOnUnsent(call, requirements, progress, yield))
+                return *std::move(forwarded);
+            return this->finishWithoutTarget(call, progress, slot.refusal, attempt, yield);
         }
-        if (this->isQuarantined(call)) {
+        if (const auto code = this->reasonNotToSend(call, progress)) {
             admission.release(slot.target, TargetResult::Abandoned, {});
-            return { uncertainResult.value_or(ResultCode::RequestQuarantined), {}, {} };
+            return { *code, {}, {} };
         }
         auto result = this->runAttempt(call, admission, slot.target, attempt == 1, yield);
         result.target = slot.target;
         result.pool = call.pool;
         result.attempts = attempt;
+        progress.sent += wasSent(result.code) ? 1 : 0;
+        result.sent = progress.sent;
         if (result.code == ResultCode::Answered || result.code == ResultCode::CallerGone)
             return result;
         // The address belongs to another server: this attempt does not count towards the route's limit.
@@ -315,14 +334,21 @@
             --attempt;
         const auto outcome = resultInfo(result.code).outcome;
         const auto attempted
-            = AttemptResult { outcome, call.route->idempotent, attempt, call.deadline, call.route->attempts };
-        // If an attempt may have run, a later one that did not run does not change the result.
+            = AttemptResult { outcome, call.route->idempotent, attempt, call.deadline, call.maxAttempts };
         if (outcome != Outcome::NotRun)
-            uncertainResult = result.code;
+            progress.uncertainResult = result.code;
+        progress.isUnsent = result.code == ResultCode::ConnectFailed;
+        // Without a path, a request that was not sent is forwarded, which is no retry.
+        if (progress.isUnsent && this->lacksPath(progress)) {
+            if (auto forwarded = this->leaveHost(call, requirements, progress, yield))
+                return *std::move(forwarded);
+        }
         const auto isAllowed
             = result.code != ResultCode::ConnectionLost || this->fleet.quarantine().allowsRetry(call.identity);
         if (!isAllowed || !budget.tryRetry(attempted, this->clock.now())) {
-            result.code = uncertainResult.value_or(result.code);
+            if (auto forwarded = this->passOnUnsent(call, requirements, progress, yield))
+                return *std::move(forwarded);
+            result.code = progress.uncertainResult.value_or(result.code);
             return result;
         }
         const auto reason = "reason=\"" + std::string { resultInfo(result.code).name } + "\"";
@@ -361,17 +387,17 @@
 }
 
 /// Forwards a request that got no slot to another zone, or returns its result.
-/// @param uncertainResult result of an earlier attempt that may have run.
-auto Gateway::finishWithoutTarget(Call& call, std::optional<ResultCode> uncertainResult, ResultCode refusal,
-    unsigned attempt, boost::asio::yield_context yield) -> CallResult
+auto Gateway::finishWithoutTarget(Call& call, const Progress& progress, ResultCode refusal, unsigned attempt,
+    boost::asio::yield_context yield) -> CallResult
 {
-    const auto isForwarded
-        = !uncertainResult && !call.isSpilled && refusal != ResultCode::CallerGone && !this->option.discoversTargets;
+    const auto isForwarded = !progress.uncertainResult && !call.isSpilled && refusal != ResultCode::CallerGone
+        && !this->option.discoversTargets;
     if (isForwarded)
-        return this->spillRouter.forward(call, refusal, yield);
-    auto result = CallResult { uncertainResult.value_or(refusal), {}, busyRetryAfter };
+        return this->spillRouter.forward(call, refusal, call.maxAttempts - progress.sent, yield);
+    auto result = CallResult { progress.uncertainResult.value_or(refusal), {}, busyRetryAfter };
     result.pool = call.pool;
     result.attempts = attempt - 1;
+    result.sent = progress.sent;
     return result;
 }
 
@@ -425,7 +451,7 @@
 }
 
 /// Handles a forwarded request. The sending host has authorized it and charged its rate; this host checks only its own
-/// headroom.
+/// headroom and the quarantine.
 auto Gateway::handleSpilled(Call& call, boost::asio::yield_context yield) -> CallResult
 {
     if (const auto code = this->spillRouter.accept(call); code != ResultCode::Answered)
@@ -433,6 +459,8 @@
     if (call.team == nullptr)
         call.teamIndex = openTeamIndex;
     this->choosePool(call);
+    if (this->isQuarantined(call))
+        return { ResultCode::RequestQuarantined, {}, {} };
     this->setDeadline(call);
     return this->runAttempts(call, yield);
 }
@@ -482,6 +510,8 @@
                                 : this->dialect->makeErrorResponse(
                                     result.code, std::chrono::ceil<std::chrono::milliseconds>(result.retryAfter));
     this->dialect->addResultFields(response, result.code, this->snapshot ? this->snapshot->active->version : 0);
+    if (request.fields.has(spillHeader))
+        response.fields.set(spillResultHeader, formatSpillResult({ result.code, result.sent }));
     return response;
 }
 
--- a/src/citronloft/edge/spill.cpp
+++ b/src/citronloft/edge/spill.cpp
@@ -1,5 +1,7 @@
 #include "citronloft/edge/spill.hpp"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 #include <optional>
 #include <vector>
@@ -12,7 +14,8 @@
 
 /// Minimum time for which used nonces are kept; longer than any request's deadline.
 constexpr auto nonceLifetime = std::chrono::minutes { 15 };
-constexpr auto ticketFieldCount = std::size_t { 4 };
+constexpr auto ticketFieldCount = std::size_t { 6 };
+constexpr auto reasonNames = std::to_array<std::string_view>({ "no-capacity", "no-path", "connect-failed" });
 
 auto splitFields(std::string_view text) -> std::vector<std::string>
 {
@@ -26,17 +29,61 @@
     return fields;
 }
 
-auto parseNonce(const std::string& text) -> std::optional<std::uint64_t>
+template <typename Number> auto parseNumber(std::string_view text) -> std::optional<Number>
 {
-    auto nonce = std::uint64_t { 0 };
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), nonce);
+    auto number = Number { 0 };
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
     if (error != std::errc {} || end != text.data() + text.size())
         return std::nullopt;
-    return nonce;
+    return number;
+}
+
+/// Returns the fields of a ticket before its signature.
+auto ticketText(const SpillTicket& ticket) -> std::string
+{
+    return ticket.team + ";" + ticket.route + ";" + std::to_string(ticket.nonce) + ";"
+        + std::string { spillReasonName(ticket.reason) } + ";" + std::to_string(ticket.attempts);
+}
+
+auto parseTicket(const std::vector<std::string>& fields) -> std::optional<SpillTicket>
+{
+    if (fields.size() != ticketFieldCount)
+        return std::nullopt;
+    const auto nonce = parseNumber<std::uint64_t>(fields[2]);
+    const auto reason = std::ranges::find(reasonNames, fields[3]);
+    const auto attempts = parseNumber<unsigned>(fields[4]);
+    if (!nonce || reason == reasonNames.end() || !attempts)
+        return std::nullopt;
+    return SpillTicket { fields[0], fields[1], *nonce, static_cast<SpillReason>(reason - reasonNames.begin()),
+        *attempts };
 }
 
 } // namespace
 
+auto spillReasonName(SpillReason reason) -> std::string_view
+{
+    return reasonNames.at(static_cast<std::size_t>(reason));
+}
+
+auto formatSpillResult(const SpillResult& result) -> std::string
+{
+    return std::to_string(static_cast<unsigned>(result.code)) + ";" + std::to_string(result.sent);
+}
+
+auto parseSpillResult(std::string_view text) -> std::optional<SpillResult>
+{
+    const auto separator = text.find(';');
+    if (separator == std::string_view::npos)
+        return std::nullopt;
+    const auto number = parseNumber<unsigned>(text.substr(0, separator));
+    const auto sent = parseNumber<unsigned>(text.substr(separator + 1));
+    const auto info = std::ranges::find(
+        resultTable(), number, [](const ResultInfo& row) { return std::optional(static_cast<unsigned>(row.code)); });
+    if (!sent || info == resultTable().end())
+        return std::nullopt;
+    return SpillResult { info->code, *sent };
+}
+
 SpillSigner::SpillSigner(std::string secret)
     : secret(std::move(secret))
 {
@@ -44,35 +91,34 @@
 
 auto SpillSigner::sign(const SpillTicket& ticket, const HttpRequest& request) const -> std::string
 {
-    return ticket.team + ";" + ticket.route + ";" + std::to_string(ticket.nonce) + ";"
-        + this->signatureOf(ticket, request);
+    return ticketText(ticket) + ";" + this->signatureOf(ticket, request);
 }
 
 auto SpillSigner::verify(const HttpRequest& request, TimePoint now) -> absl::StatusOr<SpillTicket>
 {
     const auto fields = splitFields(request.fields.get(spillHeader));
-    const auto nonce = fields.size() == ticketFieldCount ? parseNonce(fields[2]) : std::nullopt;
-    const auto signature = fields.size() == ticketFieldCount ? digestFromHex(fields[3]) : std::nullopt;
-    if (!nonce || !signature)
+    auto ticket = parseTicket(fields);
+    const auto signature = digestFromHex(fields.back());
+    if (!ticket || !signature)
         return absl::PermissionDeniedError("malformed spill ticket");
-    const auto ticket = SpillTicket { fields[0], fields[1], *nonce };
-    const auto expected = digestFromHex(this->signatureOf(ticket, request));
+    const auto expected = digestFromHex(this->signatureOf(*ticket, request));
     if (!constantTimeEqual(*expected, *signature))
         return absl::PermissionDeniedError("spill ticket is not signed for this request");
     if (now >= this->nextPurgeAt) {
         std::erase_if(this->usedNonces, [&](const auto& item) { return now >= item.second; });
         this->nextPurgeAt = now + nonceLifetime;
     }
-    if (!this->usedNonces.try_emplace(*nonce, now + nonceLifetime).second)
+    if (!this->usedNonces.try_emplace(ticket->nonce, now + nonceLifetime).second)
         return absl::AlreadyExistsError("spill ticket was already used");
-    return ticket;
+    return *std::move(ticket);
 }
 
 auto SpillSigner::signatureOf(const SpillTicket& ticket, const HttpRequest& request) const -> std::string
 {
     auto text = std::string { "spill" };
-    for (const auto& field : { ticket.team, ticket.route, std::to_string(ticket.nonce), request.method, request.target,
-             std::string { request.fields.get("Idempotency-Key") } })
+    for (const auto& field : { ticket.team, ticket.route, std::to_string(ticket.nonce),
+             std::string { spillReasonName(ticket.reason) }, std::to_string(ticket.attempts), request.method,
+             request.target, std::string { request.fields.get("Idempotency-Key") } })
         text += "\n" + std::to_string(field.size()) + ":" + field;
     text += "\n" + toHex(sha256(request.body));
     return toHex(hmacSha256(this->secret, text));
--- a/src/citronloft/policy/slot_allocator.cpp
+++ b/src/citronloft/policy/slot_allocator.cpp
@@ -50,6 +50,15 @@
     this->waiting.erase(id);
 }
 
+auto SlotAllocator::refuseQueued(ResultCode reason) -> void
+{
+    while (!this->waiting.empty()) {
+        const auto id = this->waiting.begin()->first;
+        this->queue->remove(id);
+        this->complete(id, { {}, reason });
+    }
+}
+
 auto SlotAllocator::tryAcquire(double reservedFraction, TimePoint now) -> SlotDecision
 {
     const auto reserved = static_cast<double>(this->pool.totalSlots(now)) * reservedFraction;
--- a/tests/fakes/cut_http_client.hpp
+++ b/tests/fakes/cut_http_client.hpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <set>
 #include <utility>
@@ -38,6 +39,7 @@
     auto exchange(const Address& address, const HttpRequest& request, const ExchangeOption& option,
         boost::asio::yield_context yield) -> Exchange override
     {
+        ++this->exchangeCounts[address];
         const auto hasConnection = this->client->openConnections(address) > 0;
         const auto isCut = this->cut != ConnectionCut::None && this->cutAddresses.contains(address);
         if (!isCut || (this->cut == ConnectionCut::RefuseNew && hasConnection)) {
@@ -67,6 +69,8 @@
     ConnectionCut cut = ConnectionCut::None;
     /// Exchanges that failed because of the cut.
     int cutExchanges = 0;
+    /// Exchanges by address, including those that failed.
+    std::map<Address, int> exchangeCounts;
 
 private:
     /// Timeouts of connections to targets: without an acknowledgement, and until they are established.
