--- a/src/citronloft/policy/slot_allocator.cpp
+++ b/src/citronloft/policy/slot_allocator.cpp
@@ -51,6 +51,15 @@
     this->waiting.erase(id);
 }
 
+auto SlotAllocator::refuseQueued(ResultCode reason) -> void
+{
+    while (!this->waiting.empty()) {
+        const auto id = this->waiting.begin()->first;
+        this->queue->remove(id);
+        this->complete(id, { {}, reason });
+    }
+}
+
 auto SlotAllocator::tryAcquire(double reservedFraction, TimePoint now) -> SlotDecision
 {
     const auto reserved = static_cast<double>(this->pool.totalSlots(now)) * reservedFraction;
@@ -71,22 +80,10 @@
     for (const auto& late : this->queue->removeLate(this->pool.serviceTime(), now))
         this->complete(late.id, { {}, ResultCode::DeadlineTooShort });
     if (this->queue->size() > 0 && !this->pool.hasUsableTarget(now))
-        this->refuseWaiting();
+        this->refuseQueued(ResultCode::NoTarget);
     this->dispatch(now);
 }
 
-/// Refuses all waiting requests, since no target is left that could take them.
-auto SlotAllocator::refuseWaiting() -> void
-{
-    auto ids = std::vector<std::uint64_t> {};
-    for (const auto& [id, request] : this->waiting)
-        ids.push_back(id);
-    for (const auto id : ids) {
-        this->queue->remove(id);
-        this->complete(id, { {}, ResultCode::NoTarget });
-    }
-}
-
 auto SlotAllocator::headroom(TimePoint now) const -> std::uint32_t
 {
     return this->queue->size() > 0 ? 0 : this->pool.freeSlots(now);
