A store that answers an abandoned watch with 410 does not count as unavailable

Hosts would take a store that answers for one that does not: store-lost, a back-off of up to 0.4 s before the next call of any kind, and missing targets kept for 1.2 s after it. Cause: each status other than OK of an abandoned watch was recorded as a failure, also OutOfRange, which is the store's answer that a revision's history is gone (a watch that waits while the history is dropped, or the store restored). Calls that are not abandoned record it as a success.

Change: OutOfRange of an abandoned watch is ignored, as its successor gets it too.

Evidence: ObjectMirrorTest.LateAnswerOfAbandonedWatchShowsNoOutage; before: object_mirror_test.cpp:206 Failure, storeBackoff->isUnavailable() Actual: true.

--- a/src/citronloft/fleet/object_mirror.cpp
+++ b/src/citronloft/fleet/object_mirror.cpp
@@ -88,7 +88,9 @@
         return;
     }
     // The failure of an abandoned watch is the first sign that the store is unavailable if its successor is pending.
-    if (!batch.ok() && number + 1 == this->callNumber && this->isCallPending)
+    // OutOfRange is an answer of the store.
+    const auto hasFailed = !batch.ok() && !absl::IsOutOfRange(batch.status());
+    if (hasFailed && number + 1 == this->callNumber && this->isCallPending)
         this->recordFailure(batch.status());
 }
 
--- a/src/citronloft/fleet/object_mirror_test.cpp
+++ b/src/citronloft/fleet/object_mirror_test.cpp
@@ -195,6 +195,20 @@
     EXPECT_FALSE(this->mirror->currentRevision());
 }
 
+/// Guards against a store that counts as unavailable because it answers that its history is gone.
+TEST_F(ObjectMirrorTest, LateAnswerOfAbandonedWatchShowsNoOutage)
+{
+    this->startWithList({ { "a", at(1), "", false } }, 1);
+    const auto abandoned = this->feed->calls.back();
+    this->tickFor(abandoned.wait + 500ms);
+    ASSERT_EQ(this->feed->calls.size(), 2U);
+    abandoned.done(absl::OutOfRangeError("history is gone"));
+    EXPECT_FALSE(this->storeBackoff->isUnavailable());
+    this->feed->answer(absl::OutOfRangeError("history is gone"));
+    this->tickFor(0ms);
+    EXPECT_FALSE(this->feed->calls.back().isWatch);
+}
+
 /// Guards against a probe that blocks all mirrors after an outage: it waited 30 s for an event of its kind, and no
 /// other mirror could call meanwhile. Found by the withdrawal campaign.
 TEST_F(ObjectMirrorTest, ProbeAfterOutageDoesNotWaitForEvents)
