A host that becomes its zone's reader renews watches that wait already

A zone whose reader leaves, and whose new reader has lost its own watches, learns of no change for up to 18 s, as no host checks. Cause: the reader's short wait applied only to watches started after the host became reader; one that was pending kept its 18.4 s.

Change: a shorter wait also brings forward when the pending watch counts as lost. A new reader asks at once if its watch is older than 1.9 s.

Evidence: ObjectMirrorTest.ShorterWaitAppliesToPendingWatch; before: object_mirror_test.cpp:221 Failure, calls.size() is 1, expected 2.

--- a/include/citronloft/fleet/object_mirror.hpp
+++ b/include/citronloft/fleet/object_mirror.hpp
@@ -114,8 +114,8 @@
     /// @brief Sets the maximum pause between two watches in a burst.
     auto setMaxPause(Duration pause) -> void { this->option.maxPause = pause; }
 
-    /// @brief Sets the wait of the following watches.
-    auto setWatchWait(Duration wait) -> void { this->option.watchWait = wait; }
+    /// @brief Sets the wait of the following watches. A pending watch counts as lost as if it had been started with it.
+    auto setWatchWait(Duration wait) -> void;
 
     /// @brief Processes the revision of a change that another host has read.
     auto expectRevision(const StoreRevision& expected, TimePoint now) -> void;
--- a/src/citronloft/fleet/object_mirror.cpp
+++ b/src/citronloft/fleet/object_mirror.cpp
@@ -94,6 +94,14 @@
         this->recordFailure(batch.status());
 }
 
+auto ObjectMirror::setWatchWait(Duration wait) -> void
+{
+    this->option.watchWait = wait;
+    if (this->isCallPending && this->callOverdueAt != TimePoint::max())
+        this->callOverdueAt
+            = std::min<TimePoint>(this->callOverdueAt, this->callStartedAt + wait + this->option.overdueTime);
+}
+
 auto ObjectMirror::expectRevision(const StoreRevision& expected, TimePoint now) -> void
 {
     if (expected <= this->expectedRevision)
--- a/src/citronloft/fleet/object_mirror_test.cpp
+++ b/src/citronloft/fleet/object_mirror_test.cpp
@@ -209,6 +209,19 @@
     EXPECT_FALSE(this->feed->calls.back().isWatch);
 }
 
+/// Guards against a new reader whose own watch is lost: it stays in the dark for as long as it did before.
+TEST_F(ObjectMirrorTest, ShorterWaitAppliesToPendingWatch)
+{
+    this->startWithList({ { "a", at(1), "", false } }, 1);
+    this->tickFor(1s);
+    this->mirror->setWatchWait(1500ms);
+    this->tickFor(800ms);
+    EXPECT_EQ(this->feed->calls.size(), 1U);
+    this->tickFor(200ms);
+    ASSERT_EQ(this->feed->calls.size(), 2U);
+    EXPECT_EQ(this->feed->calls.back().wait, 1ms);
+}
+
 /// Guards against a probe that blocks all mirrors after an outage: it waited 30 s for an event of its kind, and no
 /// other mirror could call meanwhile. Found by the withdrawal campaign.
 TEST_F(ObjectMirrorTest, ProbeAfterOutageDoesNotWaitForEvents)
