Hosts that no longer hear of a reader find out by themselves whether the store answers

A zone whose reader has no connection to the store, or is frozen, while the others have lost their watches learned of changes up to 19.5 s late: the store serves the others, but only the reader's notices made them ask. The store may refuse single hosts, and membership names a reader without regard to that.

Change: 2.2 s after the reader's last revision (two lost notices) a host renews its own watches every 1.5 s, or every 20 ms for each host of the fleet if that is longer, up to 18 s: at most 200 calls a second by all hosts together (4 kinds every 20 ms). Fleets of 900 hosts and more therefore have no such check while a reader is silent.

--- a/include/citronloft/fleet/discovery.hpp
+++ b/include/citronloft/fleet/discovery.hpp
@@ -79,7 +79,8 @@
     auto setReaderCount(std::size_t hosts) -> void;
 
     /// @brief Sets whether this host is the one of its zone that renews its watches often, and so soon finds out when
-    /// the store does not answer them.
+    /// the store does not answer them. Hosts that no longer hear of a reader renew theirs as well, less often the more
+    /// hosts there are.
     auto setIsReader(bool isReader) -> void;
 
     /// @brief Processes the revisions of changes that the reader of the zone has read.
@@ -109,6 +110,7 @@
         TimePoint forgetAt;
     };
 
+    [[nodiscard]] auto watchWait(bool isReader) const -> Duration;
     [[nodiscard]] auto mirrors() const -> std::array<ObjectMirror*, 4>;
     auto updateConfig(const ObjectMirror::Objects& objects) -> void;
     auto updateTargets(const ObjectMirror::Objects& objects) -> void;
@@ -130,6 +132,10 @@
     /// End of the earliest time for which an entry is ignored.
     TimePoint nextTargetUpdateAt = TimePoint::max();
     StoreRevision configRevision;
+    /// Number of hosts that read the store.
+    std::size_t readerCount = 1;
+    /// When the reader of the zone last announced a revision, if ever.
+    std::optional<TimePoint> readerHeardAt;
 };
 
 } // namespace citronloft
--- a/src/citronloft/fleet/discovery.cpp
+++ b/src/citronloft/fleet/discovery.cpp
@@ -18,6 +18,12 @@
 /// Wait of the watches of a zone's reader. With the time after which they count as lost, and that in which the other
 /// hosts catch up, it stays below the shortest bound on changes (2.5 s).
 constexpr auto readerWatchWait = std::chrono::milliseconds { 1500 };
+/// Time without a revision from the zone's reader after which a host finds out by itself whether the store answers; two
+/// lost notices.
+constexpr auto readerSilenceTime = std::chrono::milliseconds { 2200 };
+/// Wait of the watches of such a host for each host of the fleet. It limits the fleet to about 200 calls per second of
+/// the 2,000 that the store answers.
+constexpr auto watchWaitPerHost = std::chrono::milliseconds { 20 };
 /// Pause before the first call after the store became unavailable.
 constexpr auto minStoreBackoff = std::chrono::milliseconds { 400 };
 /// Maximum age of a copy from which the store is restored.
@@ -79,19 +85,36 @@
 
 auto Discovery::setReaderCount(std::size_t hosts) -> void
 {
+    this->readerCount = hosts;
     const auto pause = burstPausePerHost * static_cast<std::int64_t>(hosts);
     this->targets->setMaxPause(std::clamp<Duration>(pause, minBurstPause, maxBurstPause));
 }
 
 auto Discovery::setIsReader(bool isReader) -> void
 {
-    const auto wait = isReader ? Duration { readerWatchWait } : ObjectMirrorOption {}.watchWait;
+    const auto wait = this->watchWait(isReader);
     for (auto* mirror : this->mirrors())
         mirror->setWatchWait(wait);
 }
 
+/// A host that has never heard of a reader waits for long: in a fleet whose readers send nothing that it understands,
+/// no host can tell how many others call the store as often.
+auto Discovery::watchWait(bool isReader) const -> Duration
+{
+    const auto maxWait = ObjectMirrorOption {}.watchWait;
+    if (isReader)
+        return readerWatchWait;
+    if (!this->readerHeardAt || this->clock.now() - *this->readerHeardAt < readerSilenceTime)
+        return maxWait;
+    const auto wait = watchWaitPerHost * static_cast<std::int64_t>(this->readerCount);
+    return std::clamp<Duration>(wait, readerWatchWait, maxWait);
+}
+
 auto Discovery::expectRevisions(const std::vector<FeedState>& states, TimePoint now) -> void
 {
+    // A reader that has lost the store announces nothing.
+    if (!states.empty())
+        this->readerHeardAt = now;
     for (auto* mirror : this->mirrors()) {
         const auto state = std::ranges::find(states, bucketId(mirror->kind()), &FeedState::kind);
         if (state != states.end())
--- a/src/citronloft/fleet/withdrawal_bound_test.cpp
+++ b/src/citronloft/fleet/withdrawal_bound_test.cpp
@@ -323,6 +323,14 @@
         }
     }
 
+    auto setReaderFault(FeedFault fault) -> void
+    {
+        for (auto index = std::size_t { 0 }; index < this->simulatedHosts.size(); index += hostsPerZone) {
+            this->simulatedHosts[index]->fault = fault;
+            this->simulatedHosts[index]->feed->setFault(fault);
+        }
+    }
+
     [[nodiscard]] auto isStoreStable() const -> bool
     {
         return this->storeFault == FeedFault::None && this->events.now() - this->lastStoreFaultAt >= this->window;
@@ -507,6 +515,28 @@
     EXPECT_EQ(this->firstLate, "") << "seed " << GetParam() << ": learned of a withdrawal after its bound";
 }
 
+/// Guards against hosts whose watches were lost while the reader of their zone cannot tell them so.
+TEST_P(WithdrawalBound, HoldsWhileReadersAreRefusedAfterUnansweredCalls)
+{
+    this->readsDirectly = true;
+    this->bindsUnstableChanges = true;
+    this->window = shortestStableWindow;
+    this->run(1s);
+    for (auto round = 0; round < 20; ++round) {
+        this->withdraw();
+        this->run(std::chrono::milliseconds { this->pick(1200) });
+        this->silenceStore(std::chrono::milliseconds { 100 + this->pick(3000) });
+        this->setReaderFault(FeedFault::Refused);
+        this->run(std::chrono::milliseconds { 2000 + this->pick(2000) });
+        this->withdraw();
+        this->run(4s);
+        this->setReaderFault(FeedFault::None);
+        this->run(std::chrono::milliseconds { 1000 + this->pick(3000) });
+    }
+    EXPECT_GT(this->checks, 0U);
+    EXPECT_EQ(this->firstLate, "") << "seed " << GetParam() << ": learned of a withdrawal after its bound";
+}
+
 /// Guards against store calls from every host: hundreds of hosts watch the same few kinds, and the store counts each
 /// call. Without faults only one host of each zone calls the store.
 TEST_P(WithdrawalBound, OneHostOfAZoneReadsTheStore)
