Delegates learn of a manifest soon after the project's own store lost their watches

Without a platform's store, a change was in force up to 11.5 s late on all hosts: a change ends the watches of all delegates at once, the store takes the next ones without answering them, and each ends only after its own wait of 10 s and the call's 1.5 s. No peer has a newer version meanwhile.

Change: a watch waits 1 s, so that a lost one ends after 2.5 s. Two hosts a zone watch, each renewing about once a second instead of every 10 s.

Evidence: FleetHostTest.ChangeIsAppliedSoonAfterStoreLostAllWatches; before: fleet_host_test.cpp:72 Failure, runUntil() Actual: false. VirtualWorld gets the fault losesWatches; its other answers are as before.

--- a/src/citronloft/fleet/config_follower.cpp
+++ b/src/citronloft/fleet/config_follower.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-constexpr auto watchWait = std::chrono::seconds { 10 };
+/// Short, since the store may never answer a watch that it took, and only two hosts of a zone watch.
+constexpr auto watchWait = std::chrono::milliseconds { 1000 };
 constexpr auto watchRetryDelay = std::chrono::milliseconds { 300 };
 constexpr auto fetchRetryDelay = std::chrono::milliseconds { 100 };
 constexpr auto maxNotifiedPeers = std::size_t { 3 };
--- a/src/citronloft/fleet/fleet_host_test.cpp
+++ b/src/citronloft/fleet/fleet_host_test.cpp
@@ -54,6 +54,24 @@
     EXPECT_TRUE(this->world->runUntil([&] { return hasRate(200); }, 5s));
 }
 
+/// Guards against delegates that all wait for watches that the store took and never answered.
+TEST_F(FleetHostTest, ChangeIsAppliedSoonAfterStoreLostAllWatches)
+{
+    this->start({}, 100, 50);
+    this->world->run(5s);
+    ASSERT_EQ(this->world->apply(smallConfig(this->zones, 150, 50)).outcome, ApplyOutcome::Accepted);
+    this->world->faults.losesWatches = true;
+    this->world->run(500ms);
+    this->world->faults.losesWatches = false;
+    this->world->run(3500ms);
+    ASSERT_EQ(this->world->apply(smallConfig(this->zones, 200, 50)).outcome, ApplyOutcome::Accepted);
+    const auto hasRate = [this] {
+        return std::ranges::all_of(this->world->nodes,
+            [](const auto& node) { return node->host->config().active()->config.teams.front().rate == 200; });
+    };
+    EXPECT_TRUE(this->world->runUntil(hasRate, 2500ms));
+}
+
 TEST_F(FleetHostTest, SlotsOfCrashedHostAreReassigned)
 {
     this->start({}, 100, 50);
--- a/tests/fakes/virtual_world.cpp
+++ b/tests/fakes/virtual_world.cpp
@@ -98,6 +98,29 @@
     }
 
     auto watch(const std::string& key, const StoreRevision& after, Duration wait, GetDone done) -> void override
+    {
+        if (!this->world.faults.losesWatches)
+            return this->waitForChange(key, after, wait, std::move(done));
+        ++this->world.storeCalls;
+        this->world.events.after(wait + callTimeout, [self = this->shared_from_this(), done] {
+            self->finish([done] { done(absl::DeadlineExceededError("no response")); });
+        });
+    }
+
+    auto list(const std::string& prefix, ListDone done) -> void override
+    {
+        auto keys = std::vector<std::string> {};
+        for (const auto& [key, object] : this->world.objects) {
+            if (key.starts_with(prefix))
+                keys.push_back(key);
+        }
+        done(keys);
+    }
+
+    [[nodiscard]] auto era() const -> std::uint64_t override { return this->world.storeEra; }
+
+private:
+    auto waitForChange(const std::string& key, const StoreRevision& after, Duration wait, GetDone done) -> void
     {
         constexpr auto pollInterval = std::chrono::milliseconds { 20 };
         const auto found = this->world.objects.find(key);
@@ -113,23 +136,10 @@
             return;
         }
         this->world.events.after(pollInterval, [self = this->shared_from_this(), key, after, wait, done, pollInterval] {
-            self->watch(key, after, wait - pollInterval, done);
+            self->waitForChange(key, after, wait - pollInterval, done);
         });
     }
 
-    auto list(const std::string& prefix, ListDone done) -> void override
-    {
-        auto keys = std::vector<std::string> {};
-        for (const auto& [key, object] : this->world.objects) {
-            if (key.starts_with(prefix))
-                keys.push_back(key);
-        }
-        done(keys);
-    }
-
-    [[nodiscard]] auto era() const -> std::uint64_t override { return this->world.storeEra; }
-
-private:
     [[nodiscard]] auto isReachable() const -> bool
     {
         const auto isCut = this->node != nullptr && this->world.faults.cutFromStore.contains(this->node->zone);
--- a/tests/fakes/virtual_world.hpp
+++ b/tests/fakes/virtual_world.hpp
@@ -49,6 +49,8 @@
     /// Fraction of the messages whose delay is up to ten times as long.
     double slow = 0;
     bool storeDown = false;
+    /// The store takes new watches and never answers them, also not after the fault.
+    bool losesWatches = false;
     double lostReplies = 0;
     double staleReads = 0;
     /// Pairs of zones that cannot reach each other.
