No endless search for a change that was announced with too high a revision

A host would abandon and repeat its watch every 0.7 s (two calls of each kind), and hold a connection for each, for as long as the store's answers state a revision below the announced one. That of a list or a deletion is the store's revision when the reader read it, which can be above that of the change.

Change: an answer to a call that started after the announcement proves that the host has all changes up to it, since the store's answers are linearizable.

Evidence: ObjectMirrorTest.AnswerAfterAnnouncementEndsTheSearchForIt; before: object_mirror_test.cpp:234 Failure, calls.size() is 3, expected 2.

--- a/include/citronloft/fleet/object_mirror.hpp
+++ b/include/citronloft/fleet/object_mirror.hpp
@@ -143,6 +143,7 @@
     auto requestList(TimePoint now) -> void;
     auto updatePause(bool hasEvents, TimePoint now) -> void;
     auto startWatch() -> void;
+    [[nodiscard]] auto isBehind() const -> bool;
     [[nodiscard]] auto lossReason(TimePoint now) const -> std::string_view;
     auto abandonLostWatch(TimePoint now) -> void;
     auto finishWatch(std::uint64_t number, absl::StatusOr<ObjectBatch> batch) -> void;
@@ -191,6 +192,9 @@
     /// Highest revision of a change in the copy, and of one that another host has read.
     StoreRevision lastChangeRevision;
     StoreRevision expectedRevision;
+    TimePoint expectedAt {};
+    /// `expectedRevision`, once a call that started after it was announced has returned all changes.
+    StoreRevision reachedRevision;
     /// When the pending watch counts as lost unless the copy has reached `expectedRevision`.
     TimePoint catchUpBy = TimePoint::max();
     TimePoint nextCallAt {};
--- a/src/citronloft/fleet/object_mirror.cpp
+++ b/src/citronloft/fleet/object_mirror.cpp
@@ -73,7 +73,7 @@
     const auto isProbe = this->storeBackoff->isUnavailable() || std::exchange(this->needsProbe, false);
     const auto wait = isProbe ? this->option.probeWait : this->option.watchWait;
     this->callOverdueAt = isProbe ? TimePoint::max() : now + wait + this->option.overdueTime;
-    if (this->expectedRevision > this->revision)
+    if (this->isBehind())
         this->catchUpBy = now + this->option.catchUpTime;
     const auto number = ++this->callNumber;
     this->feed->watch(this->option.kind, this->revision, wait,
@@ -106,9 +106,15 @@
 {
     if (expected <= this->expectedRevision)
         return;
-    if (this->expectedRevision <= this->revision)
+    if (!this->isBehind())
         this->catchUpBy = now + this->option.catchUpTime;
     this->expectedRevision = expected;
+    this->expectedAt = now;
+}
+
+auto ObjectMirror::isBehind() const -> bool
+{
+    return this->expectedRevision > std::max(this->revision, this->reachedRevision);
 }
 
 /// @return why the pending watch counts as lost; empty if it does not. Calls made while the store is unavailable end by
@@ -121,7 +127,7 @@
         return "overdue";
     if (this->storeBackoff->recoveredAt() > this->callStartedAt)
         return "store-recovered";
-    if (this->expectedRevision > this->revision && now >= this->catchUpBy)
+    if (this->isBehind() && now >= this->catchUpBy)
         return "change-missed";
     return {};
 }
@@ -231,6 +237,9 @@
         this->nextCallAt = now + this->option.pause;
         return;
     }
+    // The announced revision may be higher than that of the change itself.
+    if (this->callStartedAt >= this->expectedAt && this->expectedRevision.era <= batch->revision.era)
+        this->reachedRevision = this->expectedRevision;
     auto hasChanged = false;
     auto deleted = std::vector<std::string> {};
     for (auto& object : batch->objects) {
--- a/src/citronloft/fleet/object_mirror_test.cpp
+++ b/src/citronloft/fleet/object_mirror_test.cpp
@@ -222,6 +222,24 @@
     EXPECT_EQ(this->feed->calls.back().wait, 1ms);
 }
 
+/// Guards against calls without end for a revision that the answers do not state.
+TEST_F(ObjectMirrorTest, AnswerAfterAnnouncementEndsTheSearchForIt)
+{
+    this->startWithList({ { "a", at(1), "", false } }, 3);
+    this->mirror->expectRevision(at(7), this->clock.now());
+    this->tickFor(500ms);
+    ASSERT_EQ(this->feed->calls.size(), 2U);
+    this->feed->answer(ObjectBatch { {}, false, at(5) });
+    this->tickFor(5s);
+    EXPECT_EQ(this->feed->calls.size(), 2U) << "the lost watch and one that goes on";
+    this->mirror->expectRevision(at(7), this->clock.now());
+    this->tickFor(1s);
+    EXPECT_EQ(this->feed->calls.size(), 2U);
+    this->mirror->expectRevision(at(8), this->clock.now());
+    this->tickFor(500ms);
+    EXPECT_EQ(this->feed->calls.size(), 3U);
+}
+
 /// Guards against a probe that blocks all mirrors after an outage: it waited 30 s for an event of its kind, and no
 /// other mirror could call meanwhile. Found by the withdrawal campaign.
 TEST_F(ObjectMirrorTest, ProbeAfterOutageDoesNotWaitForEvents)
