--- a/src/citronloft/fleet/object_mirror_test.cpp
+++ b/src/citronloft/fleet/object_mirror_test.cpp
@@ -195,6 +195,51 @@
     EXPECT_FALSE(this->mirror->currentRevision());
 }
 
+/// Guards against a store that counts as unavailable because it answers that its history is gone.
+TEST_F(ObjectMirrorTest, LateAnswerOfAbandonedWatchShowsNoOutage)
+{
+    this->startWithList({ { "a", at(1), "", false } }, 1);
+    const auto abandoned = this->feed->calls.back();
+    this->tickFor(abandoned.wait + 500ms);
+    ASSERT_EQ(this->feed->calls.size(), 2U);
+    abandoned.done(absl::OutOfRangeError("history is gone"));
+    EXPECT_FALSE(this->storeBackoff->isUnavailable());
+    this->feed->answer(absl::OutOfRangeError("history is gone"));
+    this->tickFor(0ms);
+    EXPECT_FALSE(this->feed->calls.back().isWatch);
+}
+
+/// Guards against a new reader whose own watch is lost: it stays in the dark for as long as it did before.
+TEST_F(ObjectMirrorTest, ShorterWaitAppliesToPendingWatch)
+{
+    this->startWithList({ { "a", at(1), "", false } }, 1);
+    this->tickFor(1s);
+    this->mirror->setWatchWait(1500ms);
+    this->tickFor(800ms);
+    EXPECT_EQ(this->feed->calls.size(), 1U);
+    this->tickFor(200ms);
+    ASSERT_EQ(this->feed->calls.size(), 2U);
+    EXPECT_EQ(this->feed->calls.back().wait, 1ms);
+}
+
+/// Guards against calls without end for a revision that the answers do not state.
+TEST_F(ObjectMirrorTest, AnswerAfterAnnouncementEndsTheSearchForIt)
+{
+    this->startWithList({ { "a", at(1), "", false } }, 3);
+    this->mirror->expectRevision(at(7), this->clock.now());
+    this->tickFor(500ms);
+    ASSERT_EQ(this->feed->calls.size(), 2U);
+    this->feed->answer(ObjectBatch { {}, false, at(5) });
+    this->tickFor(5s);
+    EXPECT_EQ(this->feed->calls.size(), 2U) << "the lost watch and one that goes on";
+    this->mirror->expectRevision(at(7), this->clock.now());
+    this->tickFor(1s);
+    EXPECT_EQ(this->feed->calls.size(), 2U);
+    this->mirror->expectRevision(at(8), this->clock.now());
+    this->tickFor(500ms);
+    EXPECT_EQ(this->feed->calls.size(), 3U);
+}
+
 /// Guards against a probe that blocks all mirrors after an outage: it waited 30 s for an event of its kind, and no
 /// other mirror could call meanwhile. Found by the withdrawal campaign.
 TEST_F(ObjectMirrorTest, ProbeAfterOutageDoesNotWaitForEvents)
