Objects of the host registry that name no IP address are no hosts

Callers would see: smaller shares of rates, as hosts that do not exist are counted.

Cause: each name below citronloft-hosts was taken as a host, whatever its address.

Change: names whose address cannot be parsed are left out and counted in the line hosts-listed.

Evidence: before, HostRegistryTest.ObjectsThatNameNoAddressAreNoHosts: this->known.size() Which is: 8, expected 1.

--- a/src/citronloft/fleet/host_registry.cpp
+++ b/src/citronloft/fleet/host_registry.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "citronloft/base/address.hpp"
 #include "citronloft/base/log.hpp"
 
 namespace citronloft {
@@ -103,9 +104,14 @@
         }
         self->isListed = true;
         auto hosts = std::vector<RegisteredHost> {};
-        for (const auto& key : *keys)
-            hosts.push_back(decodeKey(key));
-        LogEvent(LogLevel::Info, "hosts-listed").with("hosts", hosts.size());
+        for (const auto& key : *keys) {
+            auto host = decodeKey(key);
+            if (parseIp(host.ip).ok())
+                hosts.push_back(std::move(host));
+        }
+        LogEvent(LogLevel::Info, "hosts-listed")
+            .with("hosts", hosts.size())
+            .with("malformed", keys->size() - hosts.size());
         self->onListed(hosts);
     });
 }
--- a/src/citronloft/fleet/host_registry_test.cpp
+++ b/src/citronloft/fleet/host_registry_test.cpp
@@ -123,5 +123,16 @@
     EXPECT_LT(this->store->calls, 15);
 }
 
+TEST_F(HostRegistryTest, ObjectsThatNameNoAddressAreNoHosts)
+{
+    for (const auto* name :
+        { "", "_", "north-a", "north-a_", "north-a_10.0.0.256", "north-a_10.0.0.9:80", "north-a_x" })
+        this->store->keys.push_back(std::string { "citronloft-hosts/" } + name);
+    const auto registry = this->start("north-a", "10.0.0.1");
+    this->tick(*registry, 2s);
+    ASSERT_EQ(this->known.size(), 1U);
+    EXPECT_EQ(this->known.front().ip, "10.0.0.1");
+}
+
 } // namespace
 } // namespace citronloft
