An answer without request id on a used connection proves nothing

Callers would see: 503 "not run" for an unsafe request that is running, or a second run of it, after a target wrote an earlier refusal without id once more on a kept connection; or the body of another request.

Cause: answers with another id were skipped, but an answer without id was taken whatever came before it on the connection.

Ruled out: a copy with the id of the earlier request is skipped; a copy that arrives while the connection is idle closes it; a request is not sent twice to one target, so that no connection carries an id twice.

Change: without an id, only the first answer of a connection counts. Others are discarded, and the connection is not reused. For idempotent requests a server error or refusal still counts, as the request may run again. The users' examples show refusals without id, so unsafe requests use pooled connections only to targets whose last error stated the id. Requests without id use a new connection.

--- a/include/citronloft/edge/http_client.hpp
+++ b/include/citronloft/edge/http_client.hpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -42,6 +43,8 @@
     bool sent = false;
     /// Whether the request was sent on a pooled connection.
     bool reused = false;
+    /// Whether the last error, or response without id, that was read stated an id; nothing if there was none.
+    std::optional<bool> identifiesErrors {};
 };
 
 /// @brief Cancels the exchange that it is passed to; must outlive the exchange.
@@ -67,9 +70,13 @@
     Duration maxIdleTime = std::chrono::seconds { 20 };
     ExchangeCancel* cancel = nullptr;
     /// Response field that echoes the request id; responses with an id other than `id` are discarded. Empty disables
-    /// the check.
+    /// the check. A request without an id is sent on a new connection.
     std::string idField {};
     std::string id {};
+    /// Decides whether a response without id counts if it is not the first one of its connection, so that it may be the
+    /// copy of an earlier one; other responses without id are discarded. Empty accepts none, and pooled connections are
+    /// used only to servers whose errors state the id.
+    std::function<bool(const HttpResponse&)> acceptsWithoutId {};
     /// Maximum number of open connections to the address, idle ones included; at the limit an idle one is closed first.
     std::size_t connectionLimit = 1000;
 };
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -22,6 +22,7 @@
 constexpr auto latencyWeight = 0.1;
 /// Number of queue ranks, one per route priority, within each team priority.
 constexpr auto ranksPerTeamPriority = 1000U;
+constexpr auto firstServerErrorStatus = 500U;
 
 auto resultCodeOf(ExchangeError error) -> ResultCode
 {
@@ -55,7 +56,7 @@
         return TargetResult::Misdirected;
     if (code == ResultCode::ConnectFailed)
         return TargetResult::Unreachable;
-    if (code != ResultCode::Answered || response.status >= 500)
+    if (code != ResultCode::Answered || response.status >= firstServerErrorStatus)
         return TargetResult::Failed;
     return TargetResult::Answered;
 }
@@ -389,7 +390,13 @@
     exchangeOption.id = call.fields.requestId;
     if (!call.route->idempotent) {
         exchangeOption.maxIdleTime = this->option.nonIdempotentMaxIdleTime;
-    } else if (isFirstAttempt && this->option.limitsFirstAttempt) {
+    } else {
+        // If the request has run in spite of a refusal that was meant for another one, it may run again.
+        exchangeOption.acceptsWithoutId = [this](const HttpResponse& response) {
+            return response.status >= firstServerErrorStatus || this->dialect->parseResponse(response).notRun;
+        };
+    }
+    if (call.route->idempotent && isFirstAttempt && this->option.limitsFirstAttempt) {
         // With its own timeout, an attempt on an unresponsive connection does not use up the request's deadline.
         const auto attemptTimeout
             = std::max<Duration>(admission.targets().serviceTime() * firstAttemptTimeoutFactor, minFirstAttemptTimeout);
--- a/src/citronloft/edge/http_client.cpp
+++ b/src/citronloft/edge/http_client.cpp
@@ -1,6 +1,7 @@
 #include "citronloft/edge/http_client.hpp"
 
 #include <map>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -22,6 +23,7 @@
 constexpr auto maxUnparsedBytes = std::size_t { 128 } * 1024;
 /// Maximum number of interim responses and responses to other requests before the response to a request.
 constexpr auto maxSkippedResponses = 16;
+constexpr auto firstErrorStatus = 400U;
 
 struct Connection {
     explicit Connection(asio::io_context& context)
@@ -33,11 +35,15 @@
     beast::flat_buffer buffer { maxUnparsedBytes };
     TimePoint openedAt;
     TimePoint lastResponseAt;
+    /// Whether a response has been read, so that a copy of it may follow.
+    bool hasAnswered = false;
 };
 
 struct AddressPool {
     std::vector<std::unique_ptr<Connection>> idle;
     std::size_t open = 0;
+    /// Whether the server's last error, or response without id, stated the request's id.
+    bool identifiesErrors = false;
 };
 
 auto toBeast(const Address& address, const HttpRequest& plain) -> http::request<http::string_body>
@@ -78,7 +84,9 @@
         asio::yield_context yield) -> Exchange override
     {
         auto result = Exchange {};
-        auto connection = this->acquireIdle(address, exchangeOption.maxIdleTime);
+        auto connection = this->needsNewConnection(address, exchangeOption)
+            ? nullptr
+            : this->acquireIdle(address, exchangeOption.maxIdleTime);
         result.reused = connection != nullptr;
         if (!connection)
             connection = this->connect(address, exchangeOption, result, yield);
@@ -86,6 +94,8 @@
             return result;
         const auto isReusable
             = this->sendAndReceive(*connection, toBeast(address, request), exchangeOption, result, yield);
+        if (result.identifiesErrors)
+            this->addressPools[address].identifiesErrors = *result.identifiesErrors;
         this->release(address, std::move(connection), isReusable);
         return result;
     }
@@ -104,6 +114,15 @@
     }
 
 private:
+    /// Returns whether the response can be recognized only as the first one of a connection.
+    auto needsNewConnection(const Address& address, const ExchangeOption& exchangeOption) -> bool
+    {
+        if (exchangeOption.idField.empty())
+            return false;
+        return exchangeOption.id.empty()
+            || (!exchangeOption.acceptsWithoutId && !this->addressPools[address].identifiesErrors);
+    }
+
     /// Returns whether an idle connection is open and has no pending input. A readable connection was closed by the
     /// peer or holds a response without a request.
     static auto isIdleAndOpen(Connection& connection) -> bool
@@ -226,15 +245,26 @@
         return isReusable;
     }
 
-    /// Returns whether a response carries another request's id. Such a response is discarded, and the connection is not
-    /// reused.
-    static auto answersOtherRequest(const http::response<http::string_body>& answer, const ExchangeOption& option)
-        -> bool
+    /// How a response relates to the request.
+    enum class Relation : std::uint8_t {
+        Answer,
+        /// It may answer another request, so that the connection is not reused.
+        UncertainAnswer,
+        /// It is discarded, and the connection is not reused.
+        Other,
+    };
+
+    static auto relationOf(const HttpResponse& response, bool isFirst, const ExchangeOption& option) -> Relation
     {
-        if (option.idField.empty() || option.id.empty())
-            return false;
-        const auto responseId = answer[option.idField];
-        return !responseId.empty() && responseId != option.id;
+        if (option.idField.empty())
+            return Relation::Answer;
+        const auto responseId = response.fields.get(option.idField);
+        if (isFirst && (responseId.empty() || option.id.empty()))
+            return Relation::Answer;
+        if (!responseId.empty())
+            return responseId == option.id ? Relation::Answer : Relation::Other;
+        return option.acceptsWithoutId && option.acceptsWithoutId(response) ? Relation::UncertainAnswer
+                                                                            : Relation::Other;
     }
 
     auto readResponse(Connection& connection, bool isHead, const ExchangeOption& exchangeOption, Exchange& result,
@@ -253,16 +283,22 @@
             }
             if (parser.get().result_int() / 100 == 1)
                 continue;
-            if (answersOtherRequest(parser.get(), exchangeOption)) {
-                skippedResponse = true;
-                continue;
-            }
             // Bytes after the response belong to no request, so the connection cannot be reused.
             const auto isReusable = parser.get().keep_alive() && !parser.get().need_eof()
                 && connection.buffer.size() == 0 && !skippedResponse;
+            auto response = fromBeast(parser.release());
+            const auto isFirst = !std::exchange(connection.hasAnswered, true);
+            const auto relation = relationOf(response, isFirst, exchangeOption);
+            const auto hasId = response.fields.has(exchangeOption.idField);
+            if (!hasId || response.status >= firstErrorStatus)
+                result.identifiesErrors = hasId;
+            if (relation == Relation::Other) {
+                skippedResponse = true;
+                continue;
+            }
             connection.lastResponseAt = this->clock.now();
-            result.response = fromBeast(parser.release());
-            return isReusable;
+            result.response = std::move(response);
+            return isReusable && relation == Relation::Answer;
         }
         result.error = ExchangeError::AnswerCut;
         return false;
--- a/src/citronloft/edge/http_client_test.cpp
+++ b/src/citronloft/edge/http_client_test.cpp
@@ -26,12 +26,13 @@
         EXPECT_TRUE(isFinished);
     }
 
-    auto post(const Address& address, const std::string& id, boost::asio::yield_context yield, Duration timeout = 5s)
-        -> Exchange
+    auto post(const Address& address, const std::string& id, boost::asio::yield_context yield, Duration timeout = 5s,
+        std::function<bool(const HttpResponse&)> acceptsWithoutId = {}) -> Exchange
     {
         auto option = ExchangeOption { .deadline = this->clock.now() + timeout };
         option.idField = "X-Id";
         option.id = id;
+        option.acceptsWithoutId = std::move(acceptsWithoutId);
         return this->client->exchange(address, { "POST", "/x", {}, {} }, option, yield);
     }
 
@@ -47,6 +48,98 @@
     std::shared_ptr<HttpClient> client = makeHttpClient(context, clock);
 };
 
+TEST_F(HttpClientTest, LateCopyOfEarlierRefusalIsNotTakenForTheAnswer)
+{
+    for (const auto* id : { "1", "" }) {
+        auto target = RawServer(
+            this->context, { { response(503, "1", "") }, { response(503, id, "") + response(200, "2", "own") } });
+        this->run([&](boost::asio::yield_context yield) {
+            EXPECT_EQ(this->post(target.address(), "1", yield).response.status, 503U);
+            const auto second = this->post(target.address(), "2", yield);
+            EXPECT_TRUE(second.reused);
+            EXPECT_EQ(second.error, ExchangeError::None);
+            EXPECT_EQ(second.response.status, 200U) << "id of the refusal: " << id;
+            EXPECT_EQ(second.response.body, "own");
+            EXPECT_EQ(this->client->openConnections(target.address()), 0U);
+        });
+    }
+}
+
+TEST_F(HttpClientTest, LateCopyOfEarlierRefusalProvesNothingIfNoAnswerFollows)
+{
+    for (const auto* id : { "1", "" }) {
+        auto target = RawServer(this->context, { { response(503, "1", "") }, { response(503, id, ""), true } });
+        this->run([&](boost::asio::yield_context yield) {
+            this->post(target.address(), "1", yield);
+            const auto second = this->post(target.address(), "2", yield);
+            EXPECT_TRUE(second.reused);
+            EXPECT_TRUE(second.sent);
+            EXPECT_EQ(second.error, ExchangeError::ConnectionLost) << "id of the refusal: " << id;
+        });
+    }
+}
+
+TEST_F(HttpClientTest, RequestToServerThatOmitsIdsUsesNewConnection)
+{
+    auto target = RawServer(this->context, { { response(503, "", "") }, { response(200, "2", "own") } });
+    this->run([&](boost::asio::yield_context yield) {
+        EXPECT_EQ(this->post(target.address(), "1", yield).response.status, 503U);
+        const auto second = this->post(target.address(), "2", yield);
+        EXPECT_FALSE(second.reused);
+        EXPECT_EQ(second.response.body, "own");
+    });
+}
+
+TEST_F(HttpClientTest, AcceptedResponseWithoutIdEndsReuse)
+{
+    const auto isError = [](const HttpResponse& answer) { return answer.status >= 500; };
+    auto target = RawServer(this->context,
+        { { response(503, "", "") }, { response(200, "", "other") + response(503, "", "") },
+            { response(200, "3", "c") } });
+    this->run([&](boost::asio::yield_context yield) {
+        this->post(target.address(), "1", yield, 5s, isError);
+        const auto second = this->post(target.address(), "2", yield, 5s, isError);
+        EXPECT_TRUE(second.reused);
+        EXPECT_EQ(second.response.status, 503U);
+        EXPECT_FALSE(this->post(target.address(), "3", yield, 5s, isError).reused);
+    });
+}
+
+TEST_F(HttpClientTest, CopyOfRefusalOnIdleConnectionClosesIt)
+{
+    for (const auto* id : { "1", "" }) {
+        const auto refusal = response(503, id, "");
+        auto target = RawServer(this->context, { { refusal + refusal }, { response(200, "2", "own") } });
+        this->run([&](boost::asio::yield_context yield) {
+            EXPECT_EQ(this->post(target.address(), "1", yield).response.status, 503U);
+            const auto second = this->post(target.address(), "2", yield);
+            EXPECT_FALSE(second.reused);
+            EXPECT_EQ(second.response.body, "own");
+        });
+    }
+}
+
+TEST_F(HttpClientTest, FirstAnswerOfAConnectionNeedsNoId)
+{
+    auto target = RawServer(this->context, { { response(503, "", "") } });
+    this->run([&](boost::asio::yield_context yield) {
+        const auto exchange = this->post(target.address(), "1", yield);
+        EXPECT_EQ(exchange.error, ExchangeError::None);
+        EXPECT_EQ(exchange.response.status, 503U);
+    });
+}
+
+TEST_F(HttpClientTest, RequestWithoutIdUsesNewConnection)
+{
+    auto target = RawServer(this->context, { { response(200, "1", "a") }, { response(400, "", "") } });
+    this->run([&](boost::asio::yield_context yield) {
+        this->post(target.address(), "1", yield);
+        const auto second = this->post(target.address(), "", yield);
+        EXPECT_FALSE(second.reused);
+        EXPECT_EQ(second.response.status, 400U);
+    });
+}
+
 struct CutCase {
     std::string name;
     std::string bytes;
