--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -196,7 +196,11 @@
     this->discovery->tick(now);
     if (!isReader)
         return;
-    if (auto notice = this->zoneFeed->takeDueNotice(this->discovery->feedStates(), now))
+    auto states = this->discovery->feedStates();
+    // Hosts that watch the store themselves need to hear of changes only, not of each answer without one.
+    for (auto& state : states)
+        state.revision = usesZoneReaders ? state.revision : state.changeRevision;
+    if (auto notice = this->zoneFeed->takeDueNotice(std::move(states), now))
         this->fleet->sendFeedNotice(*std::move(notice));
 }
 
