--- a/review/common/lab.h
+++ b/review/common/lab.h
@@ -32,7 +32,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
-#include <sys/resource.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -801,15 +801,18 @@
         : directory(std::move(directory))
     {
         std::signal(SIGPIPE, SIG_IGN);
-        auto limit = rlimit {};
-        ::getrlimit(RLIMIT_NOFILE, &limit);
         record.open(this->directory + "/record.txt");
         auto pattern = std::string { "/tmp/citronloft-review-XXXXXX" };
         this->temporary = ::mkdtemp(pattern.data());
-        for (auto tries = 0; tries < 200; ++tries) {
-            this->network = 30 + static_cast<int>((static_cast<unsigned>(::getpid()) + tries * 7U) % 190U);
-            if (this->store.start(this->ipOf("250.1")))
-                break;
+        // The listening socket keeps other runs off the network 127.N.0.0/16.
+        constexpr auto lockPort = 18999;
+        for (auto tries = 0U; tries < 190 && this->lock < 0; ++tries) {
+            this->network = 30 + static_cast<int>((static_cast<unsigned>(::getpid()) + tries) % 190U);
+            this->lock = listenOn(this->ipOf("250.2"), lockPort);
+        }
+        if (this->lock < 0 || !this->store.start(this->ipOf("250.1"))) {
+            say("no free loopback network");
+            this->exit(2);
         }
     }
 
@@ -876,6 +879,8 @@
         const auto command = std::string { program != nullptr ? program : "target/programs/citronloftd" };
         host.pid = ::fork();
         if (host.pid == 0) {
+            // The host ends with this process, whatever ends it.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             const auto fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(fd, 1);
             ::dup2(fd, 2);
@@ -985,6 +990,7 @@
 
     std::string directory, temporary;
     int network = 0;
+    int lock = -1;
     Store store;
     Json zones;
     std::vector<std::unique_ptr<Backend>> backends;
