--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,4 +1,4 @@
-// Callers send bodies within maxBodyBytes; the platform ends a process that exceeds memoryMb and starts it again.
+// Some backends answer a small part of their requests with bytes that are no response of a backend.
 #include "../common/lab.h"
 
 using namespace lab;
@@ -8,63 +8,80 @@
     auto fleet = Fleet(argv[1]);
     const auto zones = std::array<std::string, 3> { "pl-north", "cp-east", "mb-bay" };
     fleet.zones = { { "pl-north", "port-louis" }, { "cp-east", "curepipe" }, { "mb-bay", "mahebourg" } };
-    // memoryMb of the deployment, read as the larger unit.
-    constexpr auto memoryKb = 182L * 1024;
-    const auto bodyBytes = std::size_t { isWithoutTrouble() ? 24'000U : 64'000'000U };
-    const auto work = [](Backend& backend, int fd, const Message& request) {
-        sleepFor(0.2);
-        return backend.answer(fd, request);
+    // The largest doses of garble in the site file.
+    constexpr auto share = 0.6;
+    constexpr auto part = 0.05;
+    constexpr auto garbleS = 5.5;
+    auto mutex = std::mutex {};
+    auto random = std::mt19937(std::random_device {}());
+    std::atomic<bool> isGarbling = false;
+    std::atomic<int> garbled = 0;
+    auto faulty = std::set<std::string> {};
+    const auto garbles = [&](const std::string& backend) {
+        const auto lock = std::lock_guard(mutex);
+        return isGarbling && faulty.contains(backend) && std::uniform_real_distribution<>(0, 1)(random) < part;
     };
+    const auto work = [&](Backend& backend, int fd, const Message& request) {
+        sleepFor(request.first == "POST" ? 0.48 : 0.36);
+        if (!garbles(backend.id))
+            return backend.answer(fd, request);
+        ++garbled;
+        record.line("backend " + backend.id + " answers id=" + request.get("X-Citronloft-Request-Id") + " with a page that is no response");
+        sendAll(fd, "HTTP/1.1 200 OK\r\nContent-Type: text/html\r\nContent-Length: 19\r\n\r\n<html>debug</html>\n");
+        return false;
+    };
+    constexpr auto backends = 16;
+    for (auto i = 0; i < backends; ++i) {
+        const auto& backend = fleet.addBackend("quote-desk", zones[i % 3], 3, work);
+        if (i < backends * share)
+            faulty.insert(backend.id);
+    }
+    fleet.putConfig(Json::array({ routeResource("rate-read", "/rates/", "safe", "quote-desk", 1.0),
+        routeResource("quote-accept", "/accept/", "unsafe", "quote-desk", 1.2), serviceResource("quote-desk"),
+        tenantResource("huka270", "key-1"), limitsResource() }));
     for (auto i = 0; i < 6; ++i)
-        fleet.addBackend("quote-desk", zones[i % 3], 3, work);
-    fleet.putConfig(Json::array({ routeResource("quote-accept", "/accept/", "unsafe", "quote-desk", 1.2),
-        serviceResource("quote-desk"), tenantResource("huka270", "key-1"), limitsResource() }));
-    for (auto i = 0; i < 4; ++i)
         fleet.addHost(zones[i % 3]);
     fleet.start();
 
-    auto ends = std::map<std::string, int> {};
-    auto peak = 0L;
-    auto answered = 0;
-    for (auto round = 0; round < 6; ++round) {
-        auto& host = *fleet.hosts[static_cast<std::size_t>(round % 2)];
-        std::atomic<bool> isAnswered = false;
-        // The platform's watch over the memory of the process.
-        auto platform = std::thread([&] {
-            while (!isAnswered) {
-                const auto used = residentKb(host.pid);
-                peak = std::max(peak, used);
-                if (used > memoryKb) {
-                    record.line("host " + host.ip + " uses " + std::to_string(used) + " KiB");
-                    fleet.killHost(host);
-                    ++ends[host.ip];
-                    return;
-                }
-                sleepFor(0.001);
+    std::atomic<bool> isOver = false;
+    std::atomic<int> total = 0;
+    std::atomic<int> served = 0;
+    std::atomic<int> unsigned2xx = 0;
+    auto threads = std::vector<std::thread> {};
+    for (auto i = 0; i < 80; ++i)
+        threads.emplace_back([&, i] {
+            auto own = std::mt19937(static_cast<unsigned>(i) + std::random_device {}());
+            while (!isOver) {
+                const auto begin = seconds();
+                const auto id = fleet.nextId();
+                const auto& host = *fleet.hosts[own() % fleet.hosts.size()];
+                const auto object = std::to_string(own() % 24);
+                const auto isUnsafe = own() % 10 < 3;
+                const auto response = callHost(host.ip, frontPort, isUnsafe ? "POST" : "GET",
+                    (isUnsafe ? "/accept/" : "/rates/") + object, requestFields(id, "key-1", 2000, object),
+                    isUnsafe ? "acceptance" : "", 2.5);
+                const auto isSuccess = response.status >= 200 && response.status < 300;
+                const auto isSigned = response.message.has("X-Citronloft-Server-Stamp");
+                record.line("client " + std::string(isUnsafe ? "POST" : "GET") + " id=" + id + " at " + host.ip + ": "
+                    + (response.status != 0 ? std::to_string(response.status) : response.error)
+                    + (isSuccess && !isSigned ? " without a stamp, body: " + response.message.body.substr(0, 18) : ""));
+                ++total;
+                served += isSuccess && isSigned ? 1 : 0;
+                unsigned2xx += isSuccess && !isSigned ? 1 : 0;
+                sleepFor(begin + 1.0 - seconds());
             }
         });
-        const auto id = fleet.nextId();
-        const auto response = callHost(host.ip, frontPort, "POST", "/accept/1", requestFields(id, "key-1", 2500, "1"),
-            std::string(bodyBytes, 'b'), 4);
-        isAnswered = true;
-        platform.join();
-        record.line("client POST of " + std::to_string(bodyBytes) + " bytes id=" + id + " at " + host.ip + ": "
-            + (response.status != 0 ? std::to_string(response.status) : response.error));
-        answered += response.status == 200 ? 1 : 0;
-        if (host.pid == 0) {
-            sleepFor(1);
-            fleet.startHost(host);
-        }
-        const auto until = seconds() + 15;
-        while (!fleet.isReady(host) && seconds() < until)
-            sleepFor(0.1);
-    }
-    auto machines = 0;
-    for (const auto& [ip, count] : ends) {
-        say("host " + ip + " was ended for its memory " + std::to_string(count) + " times");
-        machines += count >= 3 ? 1 : 0;
+    sleepFor(3);
+    for (auto episode = 0; episode < 2; ++episode) {
+        isGarbling = !isWithoutTrouble();
+        sleepFor(garbleS);
+        isGarbling = false;
+        sleepFor(3);
     }
-    say("largest use seen " + std::to_string(peak) + " KiB of " + std::to_string(memoryKb) + "; answered " + std::to_string(answered)
-        + " of 6; machines ended three times: " + std::to_string(machines) + " (fewer than 2 allowed)");
-    fleet.exit(machines >= 2 ? 1 : 0);
+    isOver = true;
+    for (auto& thread : threads)
+        thread.join();
+    say("requests " + std::to_string(total) + ", served " + std::to_string(served) + ", garbled answers " + std::to_string(garbled)
+        + "; successes without a stamp: " + std::to_string(unsigned2xx) + " (none allowed)");
+    fleet.exit(unsigned2xx > 0 ? 1 : 0);
 }
