--- a/review/common/lab.h
+++ b/review/common/lab.h
@@ -278,6 +278,8 @@
     std::string ip;
     int port = 0;
     std::atomic<bool> isOpen = false;
+    /// Connections are accepted and kept; nothing passes on them.
+    std::atomic<bool> isSilent = false;
 
 private:
     auto accept() -> void
@@ -324,6 +326,19 @@
         return this->server.start(ip, 0, [this](int fd, std::string& buffer) { this->serve(fd, buffer); });
     }
 
+    /// Serves one machine, to which the addresses with the prefix `from` are shown with the prefix `to`.
+    /// @return the address of the store for this machine.
+    auto startFor(const std::string& ip, const std::string& from, const std::string& to) -> std::string
+    {
+        this->machines.push_back(std::make_unique<Server>());
+        auto& machine = *this->machines.back();
+        machine.start(ip, 0, [this, from, to](int fd, std::string& buffer) {
+            this->view() = { from, to };
+            this->serve(fd, buffer);
+        });
+        return machine.address();
+    }
+
     auto put(const std::string& kind, const std::string& name, const Json& spec) -> void
     {
         const auto lock = std::lock_guard(this->mutex);
@@ -381,6 +396,25 @@
     auto stop() -> void { this->server.stop(); }
 
 private:
+    struct View {
+        std::string from, to;
+    };
+
+    /// The view of the machine that this thread serves.
+    static auto view() -> View&
+    {
+        thread_local auto own = View {};
+        return own;
+    }
+
+    static auto asSeen(std::string text) -> std::string
+    {
+        const auto& [from, to] = view();
+        for (auto at = from.empty() ? std::string::npos : text.find(from); at != std::string::npos; at = text.find(from, at))
+            text.replace(at, from.size(), to);
+        return text;
+    }
+
     struct Event {
         std::string kind;
         std::uint64_t revision;
@@ -424,7 +458,7 @@
     auto answer(int fd, int status, const Json& body, std::uint64_t answerEra) -> bool
     {
         return sendAll(fd, formatResponse(status, "Content-Type: application/json\r\nStore-Era: "
-                + std::to_string(answerEra) + "\r\n", body.dump()));
+                + std::to_string(answerEra) + "\r\n", asSeen(body.dump())));
     }
 
     auto serve(int fd, std::string& buffer) -> void
@@ -523,6 +557,7 @@
     }
 
     Server server;
+    std::vector<std::unique_ptr<Server>> machines;
     std::mutex mutex;
     std::condition_variable changed;
     Objects objects;
@@ -569,9 +604,20 @@
                          .count();
         this->sequence = 0;
         this->server = std::make_unique<Server>();
-        return this->server->start(ip, port, [this](int fd, std::string& buffer) { this->serve(fd, buffer); });
+        return this->server->start(ip, port, [this](int fd, std::string& buffer) { this->serve(fd, buffer, *this->server); });
     }
 
+    /// Opens one machine's path to this backend: an address of its own with the same port.
+    auto openPath(const std::string& ip) -> bool
+    {
+        this->paths.push_back(std::make_unique<Server>());
+        auto& path = *this->paths.back();
+        return path.start(ip, this->server->port, [this, &path](int fd, std::string& buffer) { this->serve(fd, buffer, path); });
+    }
+
+    /// Makes a machine's path silent, or lets it pass again; connections that were silent then end.
+    auto setPathSilent(std::size_t machine, bool isSilent) -> void { this->paths.at(machine)->isSilent = isSilent; }
+
     /// Ends as a process that crashes: all connections are reset.
     auto crash() -> void { this->server->stop(true); }
 
@@ -626,9 +672,8 @@
     std::unique_ptr<Server> server;
 
 private:
-    auto serve(int fd, std::string& buffer) -> void
+    auto serve(int fd, std::string& buffer, Server& own) -> void
     {
-        auto& own = *this->server;
         while (own.isOpen) {
             auto request = Message {};
             const auto result = readMessage(fd, buffer, request, Clock::now() + std::chrono::seconds { 1 });
@@ -636,6 +681,11 @@
                 continue;
             if (result != 1)
                 return;
+            if (own.isSilent) {
+                while (own.isSilent && own.isOpen)
+                    sleepFor(0.05);
+                return;
+            }
             if (!this->handle(fd, request) || !own.isOpen)
                 return;
         }
@@ -669,12 +719,15 @@
     }
 
     std::vector<std::unique_ptr<Server>> retired;
+    std::vector<std::unique_ptr<Server>> paths;
 };
 
 // --- hosts -----------------------------------------------------------------------------------------------------------
 
 struct Host {
     std::string ip, zone;
+    /// The store's address for this host; empty: the one of all.
+    std::string platform;
     pid_t pid = 0;
     [[nodiscard]] auto front() const -> std::string { return this->ip; }
 };
@@ -854,6 +907,22 @@
         return *this->hosts.back();
     }
 
+    /// Gives each host a path of its own to each backend; call it before the hosts start.
+    auto openPaths() -> void
+    {
+        for (auto machine = std::size_t { 0 }; machine < this->hosts.size(); ++machine) {
+            const auto net = std::to_string(100 + machine) + ".";
+            this->hosts[machine]->platform
+                = this->store.startFor(this->ipOf("251." + std::to_string(machine + 1)), this->ipOf("200."), this->ipOf(net));
+            for (auto backend = std::size_t { 0 }; backend < this->backends.size(); ++backend) {
+                if (!this->backends[backend]->openPath(this->ipOf(net + std::to_string(backend + 1)))) {
+                    say("a path could not be opened");
+                    this->exit(2);
+                }
+            }
+        }
+    }
+
     auto startHost(Host& host) -> void
     {
         auto seeds = Json::array();
@@ -868,7 +937,7 @@
              << "\nservice_address: " << Json(host.ip + ":" + std::to_string(frontPort))
              << "\nready_address: " << Json(host.ip + ":" + std::to_string(readyPort))
              << "\nlookup_address: " << Json(host.ip + ":" + std::to_string(directoryPort))
-             << "\npeer_port: 7560\nstatus_port: 9464\nplatform: " << Json(this->store.address())
+             << "\npeer_port: 7560\nstatus_port: 9464\nplatform: " << Json(host.platform.empty() ? this->store.address() : host.platform)
              << "\nadapter: fleet\nfleet_secret: \"the hosts of this fleet know each other by this text\"\nseed_hosts: "
              << seeds.dump()
              << "\nlookup_ttl_s: 2\nlending: fleet\nstop_time_s: 6\nretry_ratio: 0.2\nretry_slack: 116\nrate_overage: "
