--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -8,10 +8,10 @@
     auto fleet = Fleet(argv[1]);
     const auto zones = std::array<std::string, 3> { "pl-north", "cp-east", "mb-bay" };
     fleet.zones = { { "pl-north", "port-louis" }, { "cp-east", "curepipe" }, { "mb-bay", "mahebourg" } };
-    // The largest doses of garble in the site file.
-    constexpr auto share = 0.6;
-    constexpr auto part = 0.05;
-    constexpr auto garbleS = 5.5;
+    // One entry of the site file: garble with share = 0.488, x = 0.0196 and for_s = 5.57.
+    constexpr auto share = 0.488;
+    constexpr auto part = 0.0196;
+    constexpr auto garbleS = 5.57;
     auto mutex = std::mutex {};
     auto random = std::mt19937(std::random_device {}());
     std::atomic<bool> isGarbling = false;
@@ -72,7 +72,7 @@
             }
         });
     sleepFor(3);
-    for (auto episode = 0; episode < 2; ++episode) {
+    for (auto episode = 0; episode < 7; ++episode) {
         isGarbling = !isWithoutTrouble();
         sleepFor(garbleS);
         isGarbling = false;
--- a/review/common/lab.h
+++ b/review/common/lab.h
@@ -14,6 +14,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <deque>
+#include <exception>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -854,6 +855,8 @@
         : directory(std::move(directory))
     {
         std::signal(SIGPIPE, SIG_IGN);
+        // A failure of the stand-ins is no result; the hosts end with this process.
+        std::set_terminate([] { ::_exit(2); });
         record.open(this->directory + "/record.txt");
         auto pattern = std::string { "/tmp/citronloft-review-XXXXXX" };
         this->temporary = ::mkdtemp(pattern.data());
