Pages that are no response of a target do not reach callers as successes

Cause: relationOf() in the HTTP client took the first response of a connection for the answer whatever its status if it had no id. That was meant for errors. Nothing after it looked for the stamp of a success. Ruled out: reused connections, which discarded such responses already.

Change: the dialect states which responses a target can have sent; the client ends an exchange with AnswerInvalid at others and at statuses outside 100 to 599; successes that another host passes on are checked as well. Callers get 502 (answer-cut); what may be repeated is tried at another target.

--- a/include/citronloft/edge/dialect.hpp
+++ b/include/citronloft/edge/dialect.hpp
@@ -101,6 +101,11 @@
 
     [[nodiscard]] virtual auto parseResponse(const HttpResponse& answer) const -> TargetFields = 0;
 
+    /// @return whether a target can have sent `response` for the request with this id; an empty id is unknown. Targets
+    /// may mark their successes, so that bytes that are no response of a target do not reach the caller as one.
+    [[nodiscard]] virtual auto isTargetResponse(const HttpResponse& response, std::string_view requestId) const -> bool
+        = 0;
+
     /// @return the name of the response field in which targets echo the request id; empty if they do not echo it.
     [[nodiscard]] virtual auto requestIdField() const -> std::string_view = 0;
 
--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -206,6 +206,7 @@
     auto logFailure(const HttpRequest& request, const CallResult& result, Duration took) -> void;
     [[nodiscard]] auto teamOf(std::string_view key) const -> const Team*;
     auto logLostConnection(const Call& call, const std::string& target, bool wasReused, Duration afterSending) -> void;
+    auto logInvalidAnswer(const Call& call, const std::string& target) -> void;
     auto logRetry(const Call& call, ResultCode code, const std::string& target, unsigned attempt) -> void;
     auto finish(const HttpRequest& request, CallResult result, TimePoint startedAt) -> HttpResponse;
 
--- a/include/citronloft/edge/http_client.hpp
+++ b/include/citronloft/edge/http_client.hpp
@@ -31,6 +31,8 @@
     /// The connection was closed before the response was complete.
     AnswerCut,
     AnswerTooLarge,
+    /// The response is none that the server can have sent for the request.
+    AnswerInvalid,
     /// The exchange was cancelled through its ExchangeCancel.
     Cancelled,
 };
@@ -79,6 +81,9 @@
     /// copy of an earlier one; other responses without id are discarded. Empty accepts none, and pooled connections are
     /// used only to servers whose errors state the id.
     std::function<bool(const HttpResponse&)> acceptsWithoutId {};
+    /// Decides whether the server can have sent a response for this request; others end the exchange with
+    /// AnswerInvalid. Empty accepts all.
+    std::function<bool(const HttpResponse&)> isValid {};
     /// Maximum number of open connections to the address, idle ones included; at the limit an idle one is closed first.
     std::size_t connectionLimit = 1000;
 };
--- a/src/citronloft/base/result_code.cpp
+++ b/src/citronloft/base/result_code.cpp
@@ -38,7 +38,7 @@
     { PeerUnauthenticated, "peer-unauthenticated", 403, NotRun, "The forwarded request is not signed by a host." },
     { TargetReplaced, "target-replaced", 503, NotRun, "Another server has the address of the target that was chosen." },
     { RequestQuarantined, "request-quarantined", 400, NotRun, "The request has crashed the targets that ran it." },
-    { AnswerCut, "answer-cut", 502, Unknown, "The target's answer ended before it was whole." },
+    { AnswerCut, "answer-cut", 502, Unknown, "The target's answer ended before it was whole, or was no answer." },
     { TargetTimeout, "target-timeout", 504, Unknown, "The target did not answer before the deadline." },
     { ConnectionLost, "connection-lost", 502, Unknown, "The connection was lost after the request was sent." },
     { DuplicateIdempotencyKey, "duplicate-idempotency-key", 409, Unknown,
--- a/src/citronloft/edge/default_dialect.cpp
+++ b/src/citronloft/edge/default_dialect.cpp
@@ -95,6 +95,8 @@
         return fields;
     }
 
+    [[nodiscard]] auto isTargetResponse(const HttpResponse&, std::string_view) const -> bool override { return true; }
+
     [[nodiscard]] auto requestIdField() const -> std::string_view override { return {}; }
 
     auto sanitizeResponse(HttpResponse& answer, bool isHead) const -> void override
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -37,6 +37,7 @@
     case ExchangeError::ConnectionLost:
         return ResultCode::ConnectionLost;
     case ExchangeError::AnswerCut:
+    case ExchangeError::AnswerInvalid:
         return ResultCode::AnswerCut;
     case ExchangeError::AnswerTooLarge:
         return ResultCode::AnswerTooLarge;
@@ -404,6 +405,9 @@
     exchangeOption.connectionLimit = admission.targets().connectionLimit(target);
     exchangeOption.idField = this->dialect->requestIdField();
     exchangeOption.id = call.fields.requestId;
+    exchangeOption.isValid = [this, &call](const HttpResponse& response) {
+        return this->dialect->isTargetResponse(response, call.fields.requestId);
+    };
     if (!call.route->idempotent) {
         exchangeOption.maxIdleTime = this->option.nonIdempotentMaxIdleTime;
     } else {
@@ -434,6 +438,8 @@
     if (code == ResultCode::TargetTimeout || code == ResultCode::TargetReplaced)
         this->client->closeIdle(*address);
     this->recordOutcome(call, code, target, startedAt);
+    if (exchange.error == ExchangeError::AnswerInvalid)
+        this->logInvalidAnswer(call, target);
     if (code == ResultCode::ConnectionLost)
         this->logLostConnection(call, target, exchange.reused, this->clock.now() - startedAt);
     this->responseFieldLog.record(target, exchange.response.fields);
--- a/src/citronloft/edge/gateway_log.cpp
+++ b/src/citronloft/edge/gateway_log.cpp
@@ -82,6 +82,19 @@
 }
 
 /// Logs that a connection ended without an answer to the request that was sent on it, as when its target crashes.
+auto Gateway::logInvalidAnswer(const Call& call, const std::string& target) -> void
+{
+    this->metrics.count("citronloft_invalid_target_answers_total");
+    auto suppressedLines = std::uint64_t { 0 };
+    if (!this->logLimiter.allow("target-answer-invalid", this->clock.now(), suppressedLines))
+        return;
+    LogEvent(LogLevel::Warning, "target-answer-invalid")
+        .with("target", target)
+        .with("pool", call.pool)
+        .with("request", call.fields.requestId)
+        .with("left_out", suppressedLines);
+}
+
 auto Gateway::logLostConnection(const Call& call, const std::string& target, bool wasReused, Duration afterSending)
     -> void
 {
--- a/src/citronloft/edge/http_client.cpp
+++ b/src/citronloft/edge/http_client.cpp
@@ -24,6 +24,8 @@
 /// Maximum number of interim responses and responses to other requests before the response to a request.
 constexpr auto maxSkippedResponses = 16;
 constexpr auto firstErrorStatus = 400U;
+constexpr auto minStatus = 100U;
+constexpr auto maxStatus = 599U;
 
 struct Connection {
     explicit Connection(asio::io_context& context)
@@ -267,17 +269,24 @@
         UncertainAnswer,
         /// It is discarded, and the connection is not reused.
         Other,
+        /// It is no response of the server.
+        Invalid,
     };
 
+    static auto isValid(const HttpResponse& response, const ExchangeOption& option) -> bool
+    {
+        const auto isStatusKnown = response.status >= minStatus && response.status <= maxStatus;
+        return isStatusKnown && (!option.isValid || option.isValid(response));
+    }
+
     static auto relationOf(const HttpResponse& response, bool isFirst, const ExchangeOption& option) -> Relation
     {
-        if (option.idField.empty())
-            return Relation::Answer;
         const auto responseId = response.fields.get(option.idField);
-        if (isFirst && (responseId.empty() || option.id.empty()))
-            return Relation::Answer;
+        const auto isFirstOfUnknownRequest = isFirst && (responseId.empty() || option.id.empty());
+        if (option.idField.empty() || isFirstOfUnknownRequest || (!responseId.empty() && responseId == option.id))
+            return isValid(response, option) ? Relation::Answer : Relation::Invalid;
         if (!responseId.empty())
-            return responseId == option.id ? Relation::Answer : Relation::Other;
+            return Relation::Other;
         return option.acceptsWithoutId && option.acceptsWithoutId(response) ? Relation::UncertainAnswer
                                                                             : Relation::Other;
     }
@@ -311,6 +320,10 @@
                 skippedResponse = true;
                 continue;
             }
+            if (relation == Relation::Invalid) {
+                result.error = ExchangeError::AnswerInvalid;
+                return false;
+            }
             connection.lastResponseAt = this->clock.now();
             result.response = std::move(response);
             return isReusable && relation == Relation::Answer;
--- a/src/citronloft/edge/http_client_test.cpp
+++ b/src/citronloft/edge/http_client_test.cpp
@@ -140,6 +140,33 @@
     });
 }
 
+/// Guards against a page that is no response of the server and reaches the caller as the success of its request.
+TEST_F(HttpClientTest, ResponseThatServerCannotHaveSentEndsExchange)
+{
+    for (const auto* id : { "1", "" }) {
+        auto target = RawServer(this->context, { { response(200, id, "<html>") } });
+        this->run([&](boost::asio::yield_context yield) {
+            auto option = ExchangeOption { .deadline = this->clock.now() + 5s, .idField = "X-Id", .id = "1" };
+            option.isValid = [](const HttpResponse& answer) { return answer.fields.has("X-Stamp"); };
+            const auto exchange = this->client->exchange(target.address(), { "POST", "/x", {}, {} }, option, yield);
+            EXPECT_EQ(exchange.error, ExchangeError::AnswerInvalid) << "id of the page: " << id;
+            EXPECT_TRUE(exchange.response.body.empty());
+            EXPECT_EQ(this->client->openConnections(target.address()), 0U);
+        });
+    }
+}
+
+TEST_F(HttpClientTest, StatusOutsideTheProtocolEndsExchange)
+{
+    for (const auto* status : { "000", "099", "600", "999" }) {
+        auto target = RawServer(
+            this->context, { { std::string { "HTTP/1.1 " } + status + " S\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n" } });
+        this->run([&](boost::asio::yield_context yield) {
+            EXPECT_EQ(this->post(target.address(), "1", yield).error, ExchangeError::AnswerInvalid) << status;
+        });
+    }
+}
+
 struct CutCase {
     std::string name;
     std::string bytes;
--- a/src/citronloft/edge/spill_router.cpp
+++ b/src/citronloft/edge/spill_router.cpp
@@ -137,7 +137,9 @@
     if (isAnswered)
         this->dialect.sanitizeResponse(exchange.response, call.request->method == "HEAD");
     exchange.response.fields.remove(spillResultHeader);
-    result.code = reported.code;
+    // Hosts of older versions pass on successes that are no response of a target.
+    const auto isInvalid = isAnswered && !this->dialect.isTargetResponse(exchange.response, call.fields.requestId);
+    result.code = isInvalid ? ResultCode::AnswerCut : reported.code;
     result.sent = reported.sent;
     result.response = std::move(exchange.response);
     this->logForwarded(call, host, reason, result);
--- a/src/citronloft/edge/target_path_monitor.cpp
+++ b/src/citronloft/edge/target_path_monitor.cpp
@@ -57,6 +57,7 @@
     case ExchangeError::None:
     case ExchangeError::AnswerCut:
     case ExchangeError::AnswerTooLarge:
+    case ExchangeError::AnswerInvalid:
         this->path.recordAnswer(target, startedAt, now);
         break;
     case ExchangeError::ConnectFailed:
