An answer or request with a long field or trailer ends only its read

Cause: limits on headers do not bound trailers; the buffer held 128 KiB, and the field container throws at 64 KiB. async_read parses in handlers of the event loop, so that the exception left io_context::run(), which nothing guarded.

Change: messages are read in the coroutine and parsed with exceptions turned into an error of that read; unparsed bytes are limited to 63 KiB; trailers are discarded.

--- a/programs/citronloftd/components.cpp
+++ b/programs/citronloftd/components.cpp
@@ -1,8 +1,7 @@
 #include "components.hpp"
 
-#include <boost/asio/detached.hpp>
-
 #include "citronloft/base/log.hpp"
+#include "citronloft/edge/coroutine.hpp"
 
 namespace citronloft {
 
@@ -135,18 +134,16 @@
 
 auto TargetProbeComponent::runProbes() -> void
 {
-    boost::asio::spawn(
-        this->host.context,
-        [this, running = this->isRunning](boost::asio::yield_context yield) {
+    startCoroutine(
+        this->host.context, "target-probes", [this, running = this->isRunning](boost::asio::yield_context yield) {
             while (*running) {
-                this->host.gateway->probeTargets(yield);
+                runContained("target-probes", [&] { this->host.gateway->probeTargets(yield); });
                 auto error = boost::system::error_code {};
                 this->timer.expires_after(probeInterval);
                 if (*running)
                     this->timer.async_wait(yield[error]);
             }
-        },
-        boost::asio::detached);
+        });
 }
 
 } // namespace citronloft
--- a/programs/citronloftd/main.cpp
+++ b/programs/citronloftd/main.cpp
@@ -13,6 +13,7 @@
 #include <csignal>
 
 #include "citronloft/base/log.hpp"
+#include "citronloft/edge/coroutine.hpp"
 #include "host.hpp"
 
 namespace {
@@ -83,11 +84,11 @@
         this->timer.async_wait([this](boost::system::error_code error) {
             if (error)
                 return;
+            this->schedule();
             if (this->modificationTime() != this->lastModifiedAt) {
                 this->markAsRead();
                 this->onChange();
             }
-            this->schedule();
         });
     }
 
@@ -115,6 +116,7 @@
         signals.async_wait([&](boost::system::error_code error, int signal) {
             if (error)
                 return;
+            waitForSignal();
             if (signal == SIGHUP) {
                 citronloft::reopenLog();
                 settingsWatcher.markAsRead();
@@ -122,11 +124,10 @@
             } else {
                 host.stop();
             }
-            waitForSignal();
         });
     };
     waitForSignal();
-    context.run();
+    citronloft::runEventLoop(context);
     return exitCode;
 }
 
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -110,7 +110,13 @@
 {
     const auto startedAt = this->clock.now();
     ++this->inFlightRequests;
-    auto result = this->dispatch(request, caller, yield);
+    auto result = CallResult {};
+    try {
+        result = this->dispatch(request, caller, yield);
+    } catch (const std::exception&) {
+        --this->inFlightRequests;
+        throw;
+    }
     --this->inFlightRequests;
     return this->finish(request, std::move(result), startedAt);
 }
@@ -427,7 +433,15 @@
     const auto request = makeForwardedRequest(*this->dialect, call, live->instance, startedAt);
     if (admission.targets().announcedLimit(target))
         this->metrics.count("citronloft_limited_target_requests_total");
-    auto exchange = this->exchangeWithTarget(target, *address, request, exchangeOption, yield);
+    auto exchange = Exchange {};
+    try {
+        exchange = this->exchangeWithTarget(target, *address, request, exchangeOption, yield);
+    } catch (const std::exception&) {
+        // The slot is released here; the server answers the request.
+        call.caller->onDisconnect(nullptr);
+        admission.release(target, TargetResult::Abandoned, {});
+        throw;
+    }
     call.caller->onDisconnect(nullptr);
     auto code = resultCodeOf(exchange.error);
     const auto fields = this->dialect->parseResponse(exchange.response);
--- a/src/citronloft/edge/http_client.cpp
+++ b/src/citronloft/edge/http_client.cpp
@@ -10,6 +10,8 @@
 
 #include <netinet/tcp.h>
 
+#include "http_read.hpp"
+
 namespace citronloft {
 
 namespace {
@@ -19,8 +21,6 @@
 namespace http = boost::beast::http;
 using Tcp = asio::ip::tcp;
 
-/// Maximum number of received bytes that are not yet parsed, such as the line of a chunk size or a trailer.
-constexpr auto maxUnparsedBytes = std::size_t { 128 } * 1024;
 /// Maximum number of interim responses and responses to other requests before the response to a request.
 constexpr auto maxSkippedResponses = 16;
 constexpr auto firstErrorStatus = 400U;
@@ -63,14 +63,20 @@
     return request;
 }
 
-auto fromBeast(http::response<http::string_body>&& response) -> HttpResponse
+using ResponseParser = http::response_parser<http::string_body>;
+
+/// Reads a response; the fields of its trailer are discarded.
+auto readPlainResponse(Connection& connection, ResponseParser& parser, HttpResponse& response,
+    asio::yield_context yield) -> beast::error_code
 {
-    auto plain = HttpResponse {};
-    plain.status = response.result_int();
-    for (const auto& field : response)
-        plain.fields.add(std::string_view { field.name_string() }, std::string_view { field.value() });
-    plain.body = std::move(response.body());
-    return plain;
+    if (const auto error = readHeader(connection.stream, connection.buffer, parser, yield))
+        return error;
+    response.status = parser.get().result_int();
+    response.fields = copyFields(parser);
+    if (const auto error = readBody(connection.stream, connection.buffer, parser, yield))
+        return error;
+    response.body = std::move(parser.get().body());
+    return {};
 }
 
 class BeastHttpClient final : public HttpClient {
@@ -86,6 +92,7 @@
         asio::yield_context yield) -> Exchange override
     {
         auto result = Exchange {};
+        auto message = toBeast(address, request);
         auto connection = this->needsNewConnection(address, exchangeOption)
             ? nullptr
             : this->acquireIdle(address, exchangeOption.maxIdleTime);
@@ -94,8 +101,7 @@
             connection = this->openPooled(address, exchangeOption, result, yield);
         if (!connection)
             return result;
-        const auto isReusable
-            = this->sendAndReceive(*connection, toBeast(address, request), exchangeOption, result, yield);
+        const auto isReusable = this->sendAndReceive(*connection, std::move(message), exchangeOption, result, yield);
         if (result.identifiesErrors)
             this->addressPools[address].identifiesErrors = *result.identifiesErrors;
         this->release(address, std::move(connection), isReusable);
@@ -296,21 +302,19 @@
     {
         auto skippedResponse = false;
         for (auto skipped = 0; skipped < maxSkippedResponses; ++skipped) {
-            auto parser = http::response_parser<http::string_body> {};
+            auto parser = ResponseParser {};
             parser.body_limit(this->option.bodyLimitBytes);
             parser.skip(isHead);
-            auto error = beast::error_code {};
-            http::async_read(connection.stream, connection.buffer, parser, yield[error]);
-            if (error) {
+            auto response = HttpResponse {};
+            if (const auto error = readPlainResponse(connection, parser, response, yield)) {
                 result.error = exchangeErrorOf(error, parser.got_some());
                 return false;
             }
-            if (parser.get().result_int() / 100 == 1)
+            if (response.status / 100 == 1)
                 continue;
             // Bytes after the response belong to no request, so the connection cannot be reused.
             const auto isReusable = parser.get().keep_alive() && !parser.get().need_eof()
                 && connection.buffer.size() == 0 && !skippedResponse;
-            auto response = fromBeast(parser.release());
             const auto isFirst = !std::exchange(connection.hasAnswered, true);
             const auto relation = relationOf(response, isFirst, exchangeOption);
             const auto hasId = response.fields.has(exchangeOption.idField);
--- a/src/citronloft/edge/http_client_test.cpp
+++ b/src/citronloft/edge/http_client_test.cpp
@@ -167,6 +167,34 @@
     }
 }
 
+/// Guards against an answer whose trailer ends the process that reads it.
+TEST_F(HttpClientTest, LongTrailerEndsOnlyItsExchange)
+{
+    const auto chunked = std::string { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" };
+    for (const auto size : { 63'000, 66'000, 70'000, 1'000'000 }) {
+        auto target = RawServer(this->context,
+            { { chunked + "0\r\nX: " + std::string(static_cast<std::size_t>(size), 'a') + "\r\n\r\n" },
+                { response(200, "2", "own") } });
+        this->run([&](boost::asio::yield_context yield) {
+            const auto first = this->post(target.address(), "1", yield).error;
+            EXPECT_EQ(first, size < 64'000 ? ExchangeError::None : ExchangeError::AnswerCut) << size;
+            EXPECT_EQ(this->post(target.address(), "2", yield).response.body, "own") << size;
+        });
+    }
+}
+
+TEST_F(HttpClientTest, TrailerIsNoPartOfTheHead)
+{
+    auto target = RawServer(this->context,
+        { { "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX-Stamp: 1\r\n\r\n" } });
+    this->run([&](boost::asio::yield_context yield) {
+        const auto exchange = this->post(target.address(), "1", yield);
+        EXPECT_EQ(exchange.error, ExchangeError::None);
+        EXPECT_EQ(exchange.response.body, "a");
+        EXPECT_FALSE(exchange.response.fields.has("X-Stamp"));
+    });
+}
+
 struct CutCase {
     std::string name;
     std::string bytes;
--- a/src/citronloft/edge/http_object_store.cpp
+++ b/src/citronloft/edge/http_object_store.cpp
@@ -3,10 +3,10 @@
 #include <charconv>
 #include <utility>
 
-#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
 #include "citronloft/base/digest.hpp"
+#include "citronloft/edge/coroutine.hpp"
 #include "citronloft/fleet/store_era.hpp"
 #include "citronloft/policy/circuit_breaker.hpp"
 
@@ -112,11 +112,9 @@
 
     auto call(HttpRequest request, Duration extraWait, Done done) -> void
     {
-        asio::spawn(
-            this->context,
+        startCoroutine(this->context, "store-call",
             [self = this->shared_from_this(), request = std::move(request), extraWait, done = std::move(done)](
-                asio::yield_context yield) { self->run(request, extraWait, done, yield); },
-            asio::detached);
+                asio::yield_context yield) { self->run(request, extraWait, done, yield); });
     }
 
     auto run(const HttpRequest& request, Duration extraWait, const Done& done, asio::yield_context yield) -> void
--- /dev/null
+++ b/src/citronloft/edge/http_read.hpp
@@ -0,0 +1,103 @@
+/// @file
+/// @brief Reads HTTP messages in the calling coroutine, so that an exception of the parser ends only the read.
+#pragma once
+
+#include <exception>
+#include <type_traits>
+
+#include <boost/asio/error.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include "citronloft/base/log.hpp"
+#include "citronloft/edge/http_message.hpp"
+
+namespace citronloft {
+
+/// Maximum number of received bytes that are not yet parsed, such as the line of a chunk size or a trailer. The parser
+/// throws at fields of 64 KiB.
+inline constexpr auto maxUnparsedBytes = std::size_t { 63 } * 1024;
+
+/// @brief Passes buffered bytes to the parser.
+/// @return need_more if the parser needs further bytes, the parser's error, or bad_field after an exception.
+template <typename Parser>
+auto parseBuffered(boost::beast::flat_buffer& buffer, Parser& parser) -> boost::beast::error_code
+{
+    auto error = boost::beast::error_code {};
+    if (buffer.size() == 0)
+        return boost::beast::http::error::need_more;
+    try {
+        const auto size = parser.put(buffer.data(), error);
+        buffer.consume(size);
+        if (!error && size == 0)
+            error = boost::beast::http::error::need_more;
+    } catch (const std::exception& exception) {
+        LogEvent(LogLevel::Warning, "message-unreadable").with("reason", exception.what());
+        error = boost::beast::http::error::bad_field;
+    }
+    return error;
+}
+
+/// @brief Reads until `isRead` is true of the parser.
+/// @return the error of the stream or the parser; end_of_stream if the stream ends before the message begins, and
+/// buffer_overflow if the parser needs more bytes than the buffer can hold.
+template <typename Stream, typename Parser>
+auto readUntil(Stream& stream, boost::beast::flat_buffer& buffer, Parser& parser,
+    std::type_identity_t<bool (Parser::*)() const> isRead, boost::asio::yield_context yield) -> boost::beast::error_code
+{
+    constexpr auto maxReadBytes = std::size_t { 65536 };
+    while (!(parser.*isRead)()) {
+        auto error = parseBuffered(buffer, parser);
+        if (error && error != boost::beast::http::error::need_more)
+            return error;
+        if (!error)
+            continue;
+        const auto room = boost::beast::read_size(buffer, maxReadBytes);
+        if (room == 0)
+            return boost::beast::http::error::buffer_overflow;
+        error = {};
+        const auto size = stream.async_read_some(buffer.prepare(room), yield[error]);
+        buffer.commit(size);
+        if (error != boost::asio::error::eof && error)
+            return error;
+        if (!error)
+            continue;
+        if (!parser.got_some())
+            return boost::beast::http::error::end_of_stream;
+        error = {};
+        parser.put_eof(error);
+        return error;
+    }
+    return {};
+}
+
+/// @brief Reads a message's header.
+template <typename Stream, typename Parser>
+auto readHeader(Stream& stream, boost::beast::flat_buffer& buffer, Parser& parser, boost::asio::yield_context yield)
+    -> boost::beast::error_code
+{
+    parser.eager(false);
+    return readUntil(stream, buffer, parser, &Parser::is_header_done, yield);
+}
+
+/// @brief Reads the rest of a message after its header.
+template <typename Stream, typename Parser>
+auto readBody(Stream& stream, boost::beast::flat_buffer& buffer, Parser& parser, boost::asio::yield_context yield)
+    -> boost::beast::error_code
+{
+    parser.eager(true);
+    return readUntil(stream, buffer, parser, &Parser::is_done, yield);
+}
+
+/// @return the fields that the parser has read; before the body is read, those of the header without the trailer.
+template <typename Parser> auto copyFields(const Parser& parser) -> HeaderFields
+{
+    auto fields = HeaderFields {};
+    for (const auto& field : parser.get())
+        fields.add(std::string_view { field.name_string() }, std::string_view { field.value() });
+    return fields;
+}
+
+} // namespace citronloft
--- a/src/citronloft/edge/http_server.cpp
+++ b/src/citronloft/edge/http_server.cpp
@@ -3,12 +3,12 @@
 #include <algorithm>
 #include <list>
 
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
 #include "citronloft/base/log.hpp"
+#include "citronloft/edge/coroutine.hpp"
 #include "citronloft/edge/listen.hpp"
 #include "http_session.hpp"
 
@@ -41,9 +41,8 @@
     {
         if (const auto status = listenOn(this->acceptor, address); !status.ok())
             return status;
-        asio::spawn(
-            this->sessionContext->context,
-            [self = this->shared_from_this()](asio::yield_context yield) { self->accept(yield); }, asio::detached);
+        startCoroutine(this->sessionContext->context, "http-accept",
+            [self = this->shared_from_this()](asio::yield_context yield) { self->accept(yield); });
         this->scheduleSweep();
         return absl::OkStatus();
     }
@@ -95,7 +94,7 @@
                 timer.async_wait(yield[error]);
                 continue;
             }
-            this->start(std::move(socket));
+            runContained("http-accept", [&] { this->start(std::move(socket)); });
         }
     }
 
@@ -104,14 +103,12 @@
         auto ignored = boost::system::error_code {};
         socket.set_option(Tcp::no_delay(true), ignored);
         auto session = std::make_shared<HttpSession>(this->sessionContext, std::move(socket));
-        asio::spawn(
-            this->sessionContext->context,
+        startCoroutine(this->sessionContext->context, "http-session",
             [self = this->shared_from_this(), session](asio::yield_context yield) {
                 const auto position = self->sessions.insert(self->sessions.end(), session);
-                session->run(yield);
+                session->runUntilClosed(yield);
                 self->sessions.erase(position);
-            },
-            asio::detached);
+            });
     }
 
     auto scheduleSweep() -> void
--- a/src/citronloft/edge/http_session.cpp
+++ b/src/citronloft/edge/http_session.cpp
@@ -2,11 +2,11 @@
 
 #include <algorithm>
 
-#include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 
 #include "citronloft/base/log.hpp"
+#include "http_read.hpp"
 
 namespace citronloft {
 
@@ -48,17 +48,6 @@
         && error != http::error::end_of_stream && error != http::error::partial_message;
 }
 
-auto fromBeast(http::request<http::string_body>&& request) -> HttpRequest
-{
-    auto plain = HttpRequest {};
-    plain.method = std::string { request.method_string() };
-    plain.target = std::string { request.target() };
-    for (const auto& field : request)
-        plain.fields.add(std::string_view { field.name_string() }, std::string_view { field.value() });
-    plain.body = std::move(request.body());
-    return plain;
-}
-
 auto toBeast(HttpResponse&& plain, bool isHead) -> http::response<http::string_body>
 {
     auto response = http::response<http::string_body> {};
@@ -88,6 +77,16 @@
         this->peer = { endpoint.address().to_string(), endpoint.port() };
 }
 
+auto HttpSession::runUntilClosed(asio::yield_context yield) -> void
+{
+    try {
+        this->run(yield);
+    } catch (const std::exception&) {
+        logException("http-session", std::current_exception());
+        this->closeConnection();
+    }
+}
+
 auto HttpSession::run(asio::yield_context yield) -> void
 {
     while (!this->isReadingStopped && this->handleNextRequest(yield)) { }
@@ -121,11 +120,12 @@
         return false;
     this->isReading = true;
     auto parser = Parser {};
-    const auto error = this->readRequest(parser, yield);
+    auto request = HttpRequest {};
+    const auto error = this->readRequest(parser, request, yield);
     this->readDeadline = TimePoint::max();
     this->isReading = false;
     if (!error)
-        return this->startHandler(parser.release());
+        return this->startHandler(std::move(request), parser.keep_alive());
     if (isProtocolError(error)) {
         this->sendRefusal(resultCodeOf(error), yield);
         return false;
@@ -158,20 +158,28 @@
     return !error && !this->isReadingStopped;
 }
 
-auto HttpSession::readRequest(Parser& parser, asio::yield_context yield) -> beast::error_code
+/// Reads a request; the fields of its trailer are discarded.
+auto HttpSession::readRequest(Parser& parser, HttpRequest& request, asio::yield_context yield) -> beast::error_code
 {
-    parser.header_limit(this->sessionContext->option.headerLimitBytes);
-    parser.body_limit(this->sessionContext->option.bodyLimitBytes);
-    this->readDeadline = now() + this->sessionContext->option.requestTimeout;
-    auto error = beast::error_code {};
-    http::async_read_header(this->socket, this->buffer, parser, yield[error]);
-    if (!error && hasAmbiguousLength(parser.get()))
-        error = http::error::bad_transfer_encoding;
-    if (!error && beast::iequals(parser.get()[http::field::expect], "100-continue") && this->pendingRequests.empty())
+    const auto& option = this->sessionContext->option;
+    parser.header_limit(option.headerLimitBytes);
+    parser.body_limit(option.bodyLimitBytes);
+    this->buffer.max_size(std::max<std::size_t>(maxUnparsedBytes, option.headerLimitBytes + readSize));
+    this->readDeadline = now() + option.requestTimeout;
+    if (const auto error = readHeader(this->socket, this->buffer, parser, yield))
+        return error;
+    const auto& message = parser.get();
+    if (hasAmbiguousLength(message))
+        return http::error::bad_transfer_encoding;
+    request.method = std::string { message.method_string() };
+    request.target = std::string { message.target() };
+    request.fields = copyFields(parser);
+    if (beast::iequals(message[http::field::expect], "100-continue") && this->pendingRequests.empty())
         this->writeContinue(yield);
-    if (!error && !parser.is_done())
-        http::async_read(this->socket, this->buffer, parser, yield[error]);
-    return error;
+    if (const auto error = readBody(this->socket, this->buffer, parser, yield))
+        return error;
+    request.body = std::move(parser.get().body());
+    return {};
 }
 
 auto HttpSession::writeContinue(asio::yield_context yield) -> void
@@ -183,25 +191,20 @@
 
 /// Runs the handler for a request in a separate coroutine.
 /// @return whether another request may be read after it.
-auto HttpSession::startHandler(Request&& request) -> bool
+auto HttpSession::startHandler(HttpRequest&& request, bool keepsAlive) -> bool
 {
     auto pendingRequest = std::make_shared<PendingRequest>();
-    pendingRequest->isLast = !request.keep_alive() || this->sessionContext->closesConnections;
+    pendingRequest->isLast = !keepsAlive || this->sessionContext->closesConnections;
     pendingRequest->caller = std::make_shared<CallerContext>();
     pendingRequest->caller->caller = this->peer;
     this->pendingRequests.push_back(pendingRequest);
-    const auto isHead = request.method() == http::verb::head;
-    asio::spawn(
-        this->sessionContext->context,
-        [self = this->shared_from_this(), pendingRequest, isHead, plain = fromBeast(std::move(request))](
+    startCoroutine(this->sessionContext->context, "http-handler",
+        [self = this->shared_from_this(), pendingRequest, plain = std::move(request)](
             asio::yield_context yield) mutable {
-            auto response = self->callHandler(plain, *pendingRequest->caller, yield);
+            self->callHandler(plain, *pendingRequest, yield);
             pendingRequest->caller->onDisconnect(nullptr);
-            pendingRequest->requestsClose = response.close;
-            pendingRequest->response = toBeast(std::move(response), isHead);
             self->writeReadyResponses(yield);
-        },
-        asio::detached);
+        });
     return !pendingRequest->isLast;
 }
 
@@ -218,15 +221,18 @@
 }
 
 /// Turns an exception of the handler into an internal-error response, so that only this request fails.
-auto HttpSession::callHandler(HttpRequest& request, CallerContext& caller, asio::yield_context yield) -> HttpResponse
+auto HttpSession::callHandler(HttpRequest& request, PendingRequest& pendingRequest, asio::yield_context yield) -> void
 {
+    const auto isHead = request.method == "HEAD";
     try {
-        return this->sessionContext->handler(request, caller, yield);
+        auto response = this->sessionContext->handler(request, *pendingRequest.caller, yield);
+        pendingRequest.requestsClose = response.close;
+        pendingRequest.response = toBeast(std::move(response), isHead);
     } catch (const std::exception& error) {
         LogEvent(LogLevel::Error, "handler-failed").with("reason", error.what());
         if (this->sessionContext->option.onRefusal)
             this->sessionContext->option.onRefusal(ResultCode::InternalError);
-        return problemResponse(ResultCode::InternalError);
+        pendingRequest.response = toBeast(problemResponse(ResultCode::InternalError), isHead);
     }
 }
 
--- a/src/citronloft/edge/http_session.hpp
+++ b/src/citronloft/edge/http_session.hpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http.hpp>
 
 #include "citronloft/base/clock.hpp"
+#include "citronloft/edge/coroutine.hpp"
 #include "citronloft/edge/http_server.hpp"
 
 namespace citronloft {
@@ -35,8 +36,8 @@
 
     HttpSession(std::shared_ptr<HttpSessionContext> sessionContext, Tcp::socket socket);
 
-    /// @brief Reads and handles requests until the connection is closed.
-    auto run(boost::asio::yield_context yield) -> void;
+    /// @brief Reads and handles requests until the connection is closed; an exception closes it.
+    auto runUntilClosed(boost::asio::yield_context yield) -> void;
 
     /// @brief Closes the connection if it has no unanswered request.
     auto closeIfIdle() -> void;
@@ -52,7 +53,6 @@
 
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
-    using Request = boost::beast::http::request<boost::beast::http::string_body>;
     using Response = boost::beast::http::response<boost::beast::http::string_body>;
 
     /// A request whose response has not been written yet.
@@ -63,14 +63,16 @@
         bool requestsClose = false;
     };
 
+    auto run(boost::asio::yield_context yield) -> void;
     auto handleNextRequest(boost::asio::yield_context yield) -> bool;
     auto waitForBytes(boost::asio::yield_context yield) -> bool;
     auto waitForPendingLimit(boost::asio::yield_context yield) -> bool;
-    auto readRequest(Parser& parser, boost::asio::yield_context yield) -> boost::beast::error_code;
+    auto readRequest(Parser& parser, HttpRequest& request, boost::asio::yield_context yield)
+        -> boost::beast::error_code;
     auto writeContinue(boost::asio::yield_context yield) -> void;
-    auto startHandler(Request&& request) -> bool;
+    auto startHandler(HttpRequest&& request, bool keepsAlive) -> bool;
     auto sendRefusal(ResultCode code, boost::asio::yield_context yield) -> void;
-    auto callHandler(HttpRequest& request, CallerContext& caller, boost::asio::yield_context yield) -> HttpResponse;
+    auto callHandler(HttpRequest& request, PendingRequest& pendingRequest, boost::asio::yield_context yield) -> void;
     auto writeReadyResponses(boost::asio::yield_context yield) -> void;
     auto writeResponse(PendingRequest& pendingRequest, boost::asio::yield_context yield) -> bool;
     auto discardUntilClosed(boost::asio::yield_context yield) -> void;
--- a/src/citronloft/edge/http_test.cpp
+++ b/src/citronloft/edge/http_test.cpp
@@ -110,6 +110,10 @@
         { "NotHttp", "hello\r\n\r\n", "400" },
         { "LongHeader", "GET /x HTTP/1.1\r\nHost: x\r\nA: " + std::string(5000, 'a') + "\r\n\r\n", "431" },
         { "LongBody", "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 2000\r\n\r\n", "413" },
+        { "LongTrailer",
+            "POST /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: " + std::string(70'000, 'a')
+                + "\r\n\r\n",
+            "431" },
         { "SlowCaller", "GET /x HTTP/1.1\r\nHost: x\r\n", "" },
     };
 }
@@ -117,6 +121,41 @@
 INSTANTIATE_TEST_SUITE_P(
     All, BadRequestTest, testing::ValuesIn(badRequestCases()), [](const auto& info) { return info.param.name; });
 
+/// Guards against a field of a request that ends the process, where the limit on headers allows it.
+TEST_F(HttpTest, LongFieldWithinTheLimitEndsOnlyItsConnection)
+{
+    auto option = HttpServerOption {};
+    option.headerLimitBytes = 200'000;
+    const auto address = this->startServer(option);
+    this->run([&](boost::asio::yield_context yield) {
+        const auto field = "A: " + std::string(70'000, 'a') + "\r\n\r\n";
+        const auto answer = sendRaw(this->context, address, "GET /x HTTP/1.1\r\nHost: x\r\n" + field, 5s, yield);
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 4")) << answer;
+        EXPECT_EQ(this->get(address, yield).error, ExchangeError::None);
+    });
+}
+
+TEST_F(HttpTest, TrailerIsNoPartOfTheHead)
+{
+    auto names = std::vector<std::string> {};
+    this->handle = [&](HttpRequest& request, CallerContext&, boost::asio::yield_context) {
+        for (const auto& field : request.fields)
+            names.push_back(field.name);
+        auto response = HttpResponse {};
+        response.body = request.body;
+        return response;
+    };
+    const auto address = this->startServer();
+    this->run([&](boost::asio::yield_context yield) {
+        const auto answer = sendRaw(this->context, address,
+            "POST /x HTTP/1.1\r\nHost: x\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "3\r\nabc\r\n0\r\nX-Key: forged\r\n\r\n",
+            5s, yield);
+        EXPECT_TRUE(answer.ends_with("abc")) << answer;
+    });
+    EXPECT_EQ(names, (std::vector<std::string> { "Host", "Connection", "Transfer-Encoding" }));
+}
+
 TEST_F(HttpTest, IdleConnectionIsReused)
 {
     const auto address = this->startServer();
--- a/src/citronloft/edge/peer_exchange.cpp
+++ b/src/citronloft/edge/peer_exchange.cpp
@@ -3,7 +3,6 @@
 #include <array>
 #include <variant>
 
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/spawn.hpp>
@@ -14,6 +13,7 @@
 
 #include "citronloft/base/codec.hpp"
 #include "citronloft/base/digest.hpp"
+#include "citronloft/edge/coroutine.hpp"
 #include "citronloft/edge/listen.hpp"
 
 namespace citronloft {
@@ -128,7 +128,7 @@
             if (!self->acceptor.is_open())
                 return;
             if (!error)
-                self->startConnection(std::move(socket));
+                runContained("peer-accept", [&] { self->startConnection(std::move(socket)); });
             self->acceptNext();
         });
     }
@@ -136,11 +136,10 @@
     auto startConnection(Tcp::socket socket) -> void
     {
         auto stream = std::make_shared<Stream>(std::move(socket));
-        asio::spawn(
-            this->context,
-            [self = this->shared_from_this(), stream](
-                asio::yield_context yield) { self->serveConnection(*stream, yield); },
-            asio::detached);
+        startCoroutine(
+            this->context, "peer-connection", [self = this->shared_from_this(), stream](asio::yield_context yield) {
+                self->serveConnection(*stream, yield);
+            });
     }
 
     auto serveConnection(Stream& stream, asio::yield_context yield) -> void
@@ -190,18 +189,15 @@
 
     auto fetch(const Address& peer, const ConfigRequest& request, ConfigFetcher::Done done) -> void override
     {
-        asio::spawn(
-            this->context,
+        startCoroutine(this->context, "config-fetch",
             [self = this->shared_from_this(), peer, request, done = std::move(done)](asio::yield_context yield) {
                 done(self->sendRequest<ConfigUpdate>(peer, request, exchangeTimeout, yield));
-            },
-            asio::detached);
+            });
     }
 
     auto fetchFeed(const Address& peer, const FeedRequest& request, FeedFetcher::Done done) -> void override
     {
-        asio::spawn(
-            this->context,
+        startCoroutine(this->context, "feed-fetch",
             [self = this->shared_from_this(), peer, request, done = std::move(done)](asio::yield_context yield) {
                 auto answer = self->sendRequest<FeedReply>(peer, request, feedTimeout, yield);
                 if (!answer.ok())
@@ -212,19 +208,33 @@
                     done(absl::UnavailableError("peer has no connection to the store"));
                 else
                     done(std::move(answer->batch));
-            },
-            asio::detached);
+            });
     }
 
 private:
+    /// Turns an exception into an error, so that each request is answered.
     template <typename Answer, typename Request>
     auto sendRequest(const Address& peer, const Request& request, Duration timeout, asio::yield_context yield)
         -> absl::StatusOr<Answer>
+    {
+        try {
+            return this->exchange<Answer>(peer, request, timeout, yield);
+        } catch (const std::exception& exception) {
+            logException("peer-request", std::current_exception());
+            return absl::InternalError(exception.what());
+        }
+    }
+
+    template <typename Answer, typename Request>
+    auto exchange(const Address& peer, const Request& request, Duration timeout, asio::yield_context yield)
+        -> absl::StatusOr<Answer>
     {
         auto stream = Stream(this->context);
         auto error = ErrorCode {};
         stream.expires_after(timeout);
-        stream.async_connect(Tcp::endpoint(asio::ip::make_address(peer.ip), peer.port), yield[error]);
+        const auto ip = asio::ip::make_address(peer.ip, error);
+        if (!error)
+            stream.async_connect(Tcp::endpoint(ip, peer.port), yield[error]);
         if (error)
             return absl::UnavailableError("cannot connect to the peer");
         const auto nonce = randomId();
--- a/src/citronloft/edge/supervisor.cpp
+++ b/src/citronloft/edge/supervisor.cpp
@@ -70,7 +70,7 @@
     child.timer->expires_after(std::min(this->option.minBackoff * (1 << doublings), this->option.maxBackoff));
     child.timer->async_wait([this, &child](boost::system::error_code error) {
         if (!error && !this->isStopped)
-            this->restart(child);
+            this->runGuarded(child.name, [&] { this->restart(child); });
     });
 }
 
--- a/src/citronloft/edge/target_path_monitor.cpp
+++ b/src/citronloft/edge/target_path_monitor.cpp
@@ -1,8 +1,7 @@
 #include "citronloft/edge/target_path_monitor.hpp"
 
-#include <boost/asio/detached.hpp>
-
 #include "citronloft/base/log.hpp"
+#include "citronloft/edge/coroutine.hpp"
 
 namespace citronloft {
 
@@ -101,16 +100,14 @@
 
 auto TargetPathMonitor::probe(const PathTarget& target, TimePoint startedAt) -> void
 {
-    boost::asio::spawn(
-        this->context,
+    startCoroutine(this->context, "connection-probe",
         [self = this->shared_from_this(), target, startedAt](boost::asio::yield_context yield) {
             const auto address = parseAddress(target.address);
             const auto isOpen = address.ok() && self->client->connect(*address, startedAt + probeTimeout, yield);
             self->metrics.count(
                 "citronloft_connection_probes_total", isOpen ? "result=\"open\"" : "result=\"not-open\"");
             self->path.recordProbe(target.key, isOpen, startedAt, self->clock.now());
-        },
-        boost::asio::detached);
+        });
 }
 
 auto TargetPathMonitor::logChange(const PathChange& change, TimePoint now) -> void
--- a/src/citronloft/edge/udp_transport.cpp
+++ b/src/citronloft/edge/udp_transport.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/ip/udp.hpp>
 
+#include "citronloft/edge/coroutine.hpp"
 #include "citronloft/fleet/sealed_datagram.hpp"
 
 namespace citronloft {
@@ -82,7 +83,7 @@
                 if (error == asio::error::operation_aborted || !self->socket.is_open())
                     return;
                 if (!error)
-                    self->deliver(size);
+                    runContained("datagram", [&] { self->deliver(size); });
                 self->receiveNext();
             });
     }
