A lost answer is no crash: losses count only if the target has ended

Cause: each connection that ended before an answer counted as a crash of the target by that request. Ruled out: the path to all targets, which was checked already and was sound.

Both adapters take this way. Nothing between hosts or in the store changes.

--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -116,10 +116,7 @@
     [[nodiscard]] auto inFlight() const -> std::size_t { return this->inFlightRequests; }
 
     /// @return what this host knows of its path to the targets.
-    [[nodiscard]] auto pathState() const -> PathState
-    {
-        return this->pathMonitor ? this->pathMonitor->state() : PathState::Reached;
-    }
+    [[nodiscard]] auto pathState() const -> PathState { return this->pathMonitor->state(); }
 
     /// @return the admission state of each pool by pool name, for status pages.
     [[nodiscard]] auto pools() const -> const std::map<std::string, std::unique_ptr<PoolAdmission>>&
@@ -174,10 +171,9 @@
     auto passOn(Call& call, const TargetRequirements& requirements, Progress& progress, std::size_t maxHosts,
         boost::asio::yield_context yield) -> std::optional<CallResult>;
     [[nodiscard]] auto isQuarantined(Call& call) const -> bool;
-    auto recordOutcome(Call& call, ResultCode code, const std::string& target, TimePoint startedAt) -> void;
+    auto recordOutcome(Call& call, ResultCode code, const LostTarget& target, TimePoint startedAt) -> void;
     auto exchangeWithTarget(const std::string& target, const Address& address, const HttpRequest& request,
         const ExchangeOption& exchangeOption, boost::asio::yield_context yield) -> Exchange;
-    auto recordLoss(std::uint64_t request, const std::string& target, TimePoint startedAt) -> void;
     auto recordAnswer(std::uint64_t request) -> void;
     [[nodiscard]] auto allowsRetry(const Call& call, ResultCode code) const -> bool;
     [[nodiscard]] auto healthResultOf(ResultCode code, const HttpResponse& response, TimePoint startedAt) const
@@ -231,7 +227,7 @@
     TimePoint nextLoadPublishAt {};
     std::shared_ptr<HttpClient> client;
     TargetProber prober;
-    /// Null if targets are not found by discovery.
+    /// Without discovery it knows no targets and takes the path as reached.
     std::shared_ptr<TargetPathMonitor> pathMonitor;
     SpillRouter spillRouter;
     std::shared_ptr<const ConfigSnapshot> snapshot;
--- a/include/citronloft/edge/http_client.hpp
+++ b/include/citronloft/edge/http_client.hpp
@@ -37,6 +37,15 @@
     Cancelled,
 };
 
+/// @brief Result of opening a connection.
+enum class ConnectResult : std::uint8_t {
+    Open,
+    /// Nothing listens at the address.
+    Refused,
+    /// The connection was not opened in time, or for another reason.
+    Failed,
+};
+
 /// @brief Result of one request and response.
 struct Exchange {
     ExchangeError error = ExchangeError::None;
@@ -113,8 +122,8 @@
 
     /// @brief Opens a connection and closes it without having sent anything. It counts towards no limit.
     /// @param deadline the connect timeout of the client's options applies as well.
-    /// @return whether the connection was opened in time.
-    virtual auto connect(const Address& address, TimePoint deadline, boost::asio::yield_context yield) -> bool = 0;
+    virtual auto connect(const Address& address, TimePoint deadline, boost::asio::yield_context yield)
+        -> ConnectResult = 0;
 
     /// @brief Closes every idle connection to `address`.
     virtual auto closeIdle(const Address& address) -> void = 0;
--- a/include/citronloft/edge/target_path_monitor.hpp
+++ b/include/citronloft/edge/target_path_monitor.hpp
@@ -14,6 +14,7 @@
 #include "citronloft/edge/http_client.hpp"
 #include "citronloft/policy/held_losses.hpp"
 #include "citronloft/policy/live_target.hpp"
+#include "citronloft/policy/lost_targets.hpp"
 #include "citronloft/policy/target_reachability.hpp"
 
 namespace citronloft {
@@ -21,12 +22,12 @@
 /// @brief What TargetPathMonitor::tick() has found.
 struct PathUpdate {
     std::optional<PathChange> change;
-    /// Losses of requests that were not losses of the path.
+    /// Losses of requests whose targets have ended, and that were not losses of the path.
     std::vector<HeldLoss> confirmedLosses;
 };
 
-/// @brief Feeds TargetReachability from exchanges, sends its connection probes, and holds losses back until the state
-/// of the path is known.
+/// @brief Feeds TargetReachability from exchanges, sends connection probes, and holds losses back until the state of
+/// the path is known and whether the target has ended.
 class TargetPathMonitor : public std::enable_shared_from_this<TargetPathMonitor> {
 public:
     TargetPathMonitor(
@@ -43,7 +44,11 @@
     auto recordEnd(const std::string& target, const Exchange& exchange, TimePoint startedAt) -> void;
 
     /// @brief Holds a lost request; without effect if the loss is one of the path.
-    auto holdLoss(std::uint64_t request, const std::string& target, TimePoint startedAt) -> void;
+    auto holdLoss(std::uint64_t request, const LostTarget& target, TimePoint startedAt) -> void;
+
+    /// @brief Records that a target has ended.
+    /// @param evidence what shows it, for the log.
+    auto recordTargetEnd(const std::string& target, std::string_view evidence) -> void;
 
     /// @brief Forgets the held losses of a request that a target has answered.
     auto dropLosses(std::uint64_t request) -> void { this->losses.drop(request); }
@@ -63,6 +68,9 @@
 
 private:
     auto probe(const PathTarget& target, TimePoint startedAt) -> void;
+    auto probeLostTarget(const LostTarget& target, TimePoint startedAt) -> void;
+    auto recordRuns(const std::vector<LiveTarget>& targets) -> void;
+    auto logTargetEnd(const std::string& target, std::string_view evidence) -> void;
     auto logChange(const PathChange& change, TimePoint now) -> void;
 
     boost::asio::io_context& context;
@@ -71,6 +79,7 @@
     std::shared_ptr<HttpClient> client;
     TargetReachability path;
     HeldLosses losses;
+    LostTargets lostTargets;
     /// By pool.
     std::map<std::string, std::vector<PathTarget>> targets;
     TimePoint lostAt {};
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -72,8 +72,7 @@
     , random(randomId())
     , client(this->option.httpClient ? this->option.httpClient : makeHttpClient(context, clock, this->option.client))
     , prober(clock, client)
-    , pathMonitor(this->option.discoversTargets ? std::make_shared<TargetPathMonitor>(context, clock, metrics, client)
-                                                : nullptr)
+    , pathMonitor(std::make_shared<TargetPathMonitor>(context, clock, metrics, client))
     , spillRouter(clock, metrics, fleet, client, *dialect,
           { .zone = this->option.zone,
               .fleetSecret = this->option.fleetSecret,
@@ -218,18 +217,19 @@
 
 /// Records whether the request was lost with its target or answered; other results say nothing of what it does to
 /// targets.
-auto Gateway::recordOutcome(Call& call, ResultCode code, const std::string& target, TimePoint startedAt) -> void
+auto Gateway::recordOutcome(Call& call, ResultCode code, const LostTarget& target, TimePoint startedAt) -> void
 {
-    auto& quarantine = this->fleet.quarantine();
+    const auto& quarantine = this->fleet.quarantine();
     const auto isLost = code == ResultCode::ConnectionLost;
-    const auto holdsLosses = this->pathMonitor && this->pathMonitor->holdsLosses();
-    const auto isAnswered = code == ResultCode::Answered && (holdsLosses || !quarantine.isEmpty());
+    const auto isAnswered = code == ResultCode::Answered && (this->pathMonitor->holdsLosses() || !quarantine.isEmpty());
+    if (code == ResultCode::TargetReplaced)
+        this->pathMonitor->recordTargetEnd(target.key, "replaced");
     if (!isLost && !isAnswered)
         return;
     if (call.identity == 0)
         call.identity = computeRequestIdentity(call);
     if (isLost)
-        this->recordLoss(call.identity, target, startedAt);
+        this->pathMonitor->holdLoss(call.identity, target, startedAt);
     else
         this->recordAnswer(call.identity);
 }
@@ -451,7 +451,7 @@
         code = ResultCode::TargetShed;
     if (code == ResultCode::TargetTimeout || code == ResultCode::TargetReplaced)
         this->client->closeIdle(*address);
-    this->recordOutcome(call, code, target, startedAt);
+    this->recordOutcome(call, code, { target, *address }, startedAt);
     if (exchange.error == ExchangeError::AnswerInvalid)
         this->logInvalidAnswer(call, target);
     if (code == ResultCode::ConnectionLost)
@@ -502,9 +502,9 @@
         headroom.push_back({ static_cast<std::uint32_t>(bucketId(name)), static_cast<std::uint16_t>(room) });
     }
     this->fleet.membership().setHeadroom(std::move(headroom));
+    this->tickPath();
     if (!this->option.discoversTargets)
         return;
-    this->tickPath();
     this->publishLoads(now);
     this->reportLimits();
 }
--- a/src/citronloft/edge/gateway_path.cpp
+++ b/src/citronloft/edge/gateway_path.cpp
@@ -30,8 +30,6 @@
 auto Gateway::exchangeWithTarget(const std::string& target, const Address& address, const HttpRequest& request,
     const ExchangeOption& exchangeOption, boost::asio::yield_context yield) -> Exchange
 {
-    if (!this->pathMonitor)
-        return this->client->exchange(address, request, exchangeOption, yield);
     const auto startedAt = this->clock.now();
     this->pathMonitor->recordStart();
     auto exchange = this->client->exchange(address, request, exchangeOption, yield);
@@ -42,24 +40,13 @@
 /// Returns what a result means for the health of its target; failures of the path are not the target's.
 auto Gateway::healthResultOf(ResultCode code, const HttpResponse& response, TimePoint startedAt) const -> TargetResult
 {
-    const auto isPathFailure
-        = this->pathMonitor && mayBePathFailure(code) && this->pathMonitor->isPathFailure(startedAt);
+    const auto isPathFailure = mayBePathFailure(code) && this->pathMonitor->isPathFailure(startedAt);
     return isPathFailure ? TargetResult::Abandoned : targetResultOf(code, response);
 }
 
-/// Reports a lost request, or holds it until it is known whether the path to all targets was lost.
-auto Gateway::recordLoss(std::uint64_t request, const std::string& target, TimePoint startedAt) -> void
-{
-    if (this->pathMonitor)
-        this->pathMonitor->holdLoss(request, target, startedAt);
-    else
-        this->fleet.quarantine().recordLoss(request, target, this->clock.now());
-}
-
 auto Gateway::recordAnswer(std::uint64_t request) -> void
 {
-    if (this->pathMonitor)
-        this->pathMonitor->dropLosses(request);
+    this->pathMonitor->dropLosses(request);
     this->fleet.quarantine().recordAnswer(request);
 }
 
@@ -68,7 +55,7 @@
     if (code != ResultCode::ConnectionLost)
         return true;
     // Losses of one call follow each other so fast that they count once.
-    const auto held = this->pathMonitor && this->pathMonitor->holdsLoss(call.identity) ? 1U : 0U;
+    const auto held = this->pathMonitor->holdsLoss(call.identity) ? 1U : 0U;
     return this->fleet.quarantine().allowsRetry(call.identity, held);
 }
 
--- a/src/citronloft/edge/http_client.cpp
+++ b/src/citronloft/edge/http_client.cpp
@@ -108,10 +108,13 @@
         return result;
     }
 
-    auto connect(const Address& address, TimePoint deadline, asio::yield_context yield) -> bool override
+    auto connect(const Address& address, TimePoint deadline, asio::yield_context yield) -> ConnectResult override
     {
         auto connection = Connection(this->context);
-        return !this->open(connection, address, deadline, yield);
+        const auto error = this->open(connection, address, deadline, yield);
+        if (!error)
+            return ConnectResult::Open;
+        return error == asio::error::connection_refused ? ConnectResult::Refused : ConnectResult::Failed;
     }
 
     auto closeIdle(const Address& address) -> void override
--- a/src/citronloft/edge/target_path_monitor.cpp
+++ b/src/citronloft/edge/target_path_monitor.cpp
@@ -1,5 +1,7 @@
 #include "citronloft/edge/target_path_monitor.hpp"
 
+#include <array>
+
 #include "citronloft/base/log.hpp"
 #include "citronloft/edge/coroutine.hpp"
 
@@ -42,6 +44,18 @@
     for (const auto& [name, poolTargets] : this->targets)
         all.insert(all.end(), poolTargets.begin(), poolTargets.end());
     this->path.setTargets(all);
+    this->recordRuns(targets);
+}
+
+/// Another run at the address of a target shows that the target has ended.
+auto TargetPathMonitor::recordRuns(const std::vector<LiveTarget>& targets) -> void
+{
+    if (this->losses.isEmpty())
+        return;
+    for (const auto& live : targets) {
+        for (const auto& ended : this->losses.recordRun(live.target.address, live.key()))
+            this->logTargetEnd(ended, "new-run");
+    }
 }
 
 auto TargetPathMonitor::recordEnd(const std::string& target, const Exchange& exchange, TimePoint startedAt) -> void
@@ -75,17 +89,28 @@
     }
 }
 
-auto TargetPathMonitor::holdLoss(std::uint64_t request, const std::string& target, TimePoint startedAt) -> void
+auto TargetPathMonitor::holdLoss(std::uint64_t request, const LostTarget& target, TimePoint startedAt) -> void
+{
+    if (this->path.isPathFailure(startedAt))
+        return;
+    const auto now = this->clock.now();
+    this->losses.add({ request, target.key, formatAddress(target.address), now });
+    this->lostTargets.recordLoss(target, now);
+}
+
+auto TargetPathMonitor::recordTargetEnd(const std::string& target, std::string_view evidence) -> void
 {
-    if (!this->path.isPathFailure(startedAt))
-        this->losses.add({ request, target, this->clock.now() });
+    if (this->losses.recordTargetEnd(target))
+        this->logTargetEnd(target, evidence);
 }
 
 auto TargetPathMonitor::tick() -> PathUpdate
 {
     const auto now = this->clock.now();
-    if (this->losses.needsProbe(now))
+    if (this->losses.needsProbe(this->path.lastReachedStart(), now))
         this->path.requestProbe();
+    for (const auto& target : this->lostTargets.takeDueProbes(now))
+        this->probeLostTarget(target, now);
     for (const auto& target : this->path.takeDueProbes(now))
         this->probe(target, now);
     auto update = PathUpdate {};
@@ -103,13 +128,34 @@
     startCoroutine(this->context, "connection-probe",
         [self = this->shared_from_this(), target, startedAt](boost::asio::yield_context yield) {
             const auto address = parseAddress(target.address);
-            const auto isOpen = address.ok() && self->client->connect(*address, startedAt + probeTimeout, yield);
+            const auto isOpen = address.ok()
+                && self->client->connect(*address, startedAt + probeTimeout, yield) == ConnectResult::Open;
             self->metrics.count(
                 "citronloft_connection_probes_total", isOpen ? "result=\"open\"" : "result=\"not-open\"");
             self->path.recordProbe(target.key, isOpen, startedAt, self->clock.now());
         });
 }
 
+/// A refused connection shows that nothing listens at the target's address any more.
+auto TargetPathMonitor::probeLostTarget(const LostTarget& target, TimePoint startedAt) -> void
+{
+    startCoroutine(this->context, "lost-target-probe",
+        [self = this->shared_from_this(), target, startedAt](boost::asio::yield_context yield) {
+            const auto result = self->client->connect(target.address, startedAt + probeTimeout, yield);
+            constexpr auto labels = std::to_array({ "result=\"open\"", "result=\"refused\"", "result=\"failed\"" });
+            self->metrics.count("citronloft_lost_target_probes_total", labels.at(static_cast<std::size_t>(result)));
+            self->path.recordConnect(target.key, result == ConnectResult::Open, startedAt, self->clock.now());
+            if (result == ConnectResult::Refused)
+                self->recordTargetEnd(target.key, "refused");
+        });
+}
+
+auto TargetPathMonitor::logTargetEnd(const std::string& target, std::string_view evidence) -> void
+{
+    this->lostTargets.recordEnd(target);
+    LogEvent(LogLevel::Info, "target-ended").with("target", target).with("evidence", evidence);
+}
+
 auto TargetPathMonitor::logChange(const PathChange& change, TimePoint now) -> void
 {
     if (change.state == PathState::Lost) {
