A request that crashes targets within their answer is put into quarantine

Cause: only connection-lost counted as a loss; a connection that ends within the answer is answer-cut, which counted as neither loss nor answer, and a safe request went to a second target whatever was known of it.

Change: both may be a crash; the end of the target decides, as for lost answers.

--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -171,6 +171,8 @@
     auto passOn(Call& call, const TargetRequirements& requirements, Progress& progress, std::size_t maxHosts,
         boost::asio::yield_context yield) -> std::optional<CallResult>;
     [[nodiscard]] auto isQuarantined(Call& call) const -> bool;
+    /// Returns whether an attempt that ended like this may have crashed its target, before or in its answer.
+    [[nodiscard]] static auto mayBeCrash(ResultCode code) -> bool;
     auto recordOutcome(Call& call, ResultCode code, const LostTarget& target, TimePoint startedAt) -> void;
     auto exchangeWithTarget(const std::string& target, const Address& address, const HttpRequest& request,
         const ExchangeOption& exchangeOption, boost::asio::yield_context yield) -> Exchange;
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -220,7 +220,7 @@
 auto Gateway::recordOutcome(Call& call, ResultCode code, const LostTarget& target, TimePoint startedAt) -> void
 {
     const auto& quarantine = this->fleet.quarantine();
-    const auto isLost = code == ResultCode::ConnectionLost;
+    const auto isLost = mayBeCrash(code);
     const auto isAnswered = code == ResultCode::Answered && (this->pathMonitor->holdsLosses() || !quarantine.isEmpty());
     if (code == ResultCode::TargetReplaced)
         this->pathMonitor->recordTargetEnd(target.key, "replaced");
@@ -454,7 +454,7 @@
     this->recordOutcome(call, code, { target, *address }, startedAt);
     if (exchange.error == ExchangeError::AnswerInvalid)
         this->logInvalidAnswer(call, target);
-    if (code == ResultCode::ConnectionLost)
+    if (mayBeCrash(code))
         this->logLostConnection(call, target, exchange.reused, this->clock.now() - startedAt);
     this->responseFieldLog.record(target, exchange.response.fields);
     this->recordReportedLoad(admission, target, fields);
--- a/src/citronloft/edge/gateway_path.cpp
+++ b/src/citronloft/edge/gateway_path.cpp
@@ -27,6 +27,11 @@
 
 } // namespace
 
+auto Gateway::mayBeCrash(ResultCode code) -> bool
+{
+    return code == ResultCode::ConnectionLost || code == ResultCode::AnswerCut;
+}
+
 auto Gateway::exchangeWithTarget(const std::string& target, const Address& address, const HttpRequest& request,
     const ExchangeOption& exchangeOption, boost::asio::yield_context yield) -> Exchange
 {
@@ -52,7 +57,7 @@
 
 auto Gateway::allowsRetry(const Call& call, ResultCode code) const -> bool
 {
-    if (code != ResultCode::ConnectionLost)
+    if (!mayBeCrash(code))
         return true;
     // Losses of one call follow each other so fast that they count once.
     const auto held = this->pathMonitor->holdsLoss(call.identity) ? 1U : 0U;
