Requests of callers that have left are not sent on

Cause: a host short of processor time reads a request together with the close behind it. The request was handled as soon as it was read, before its close; and nothing checked the deadline between the grant of a slot and the write. Ruled out: the host's own queues, which refuse at the deadline; such a request's run at the target is cut off 2 ms after it began.

Change: right before the write the client checks the deadline against a clock read then, and asks the caller's socket whether the caller has left. The same for requests that go to other hosts.

--- a/include/citronloft/edge/http_client.hpp
+++ b/include/citronloft/edge/http_client.hpp
@@ -24,6 +24,8 @@
     ConnectFailed,
     /// The connection was not established in time; no byte was sent.
     ConnectTimeout,
+    /// The deadline passed before the request could be sent; no byte was sent.
+    TooLate,
     /// The deadline passed after the request was sent.
     AnswerTimeout,
     /// The connection was closed before the response began.
@@ -71,9 +73,14 @@
             this->action();
     }
 
+    /// @return whether the request must not be sent any more.
+    [[nodiscard]] auto isDue() const -> bool { return this->isRequested || (this->isAbandoned && this->isAbandoned()); }
+
     /// @brief Closes the connection; set by the client while the exchange is in progress.
     std::function<void()> action;
     bool isRequested = false;
+    /// @brief Asks, right before the request is sent, whether anybody still waits for the response; may be empty.
+    std::function<bool()> isAbandoned;
 };
 
 /// @brief Deadline and connection use of one exchange.
--- a/include/citronloft/edge/http_server.hpp
+++ b/include/citronloft/edge/http_server.hpp
@@ -24,9 +24,18 @@
     /// Remote address of the connection.
     Address caller;
 
-    /// @return whether the caller has closed its connection.
+    /// @return whether the caller is known to have closed its connection.
     [[nodiscard]] auto isDisconnected() const -> bool { return this->isClosed; }
 
+    /// @brief Sets the function that asks the connection whether the caller has closed it; called by the server.
+    auto setCloseProbe(std::function<bool()> probe) -> void { this->hasPeerClosed = std::move(probe); }
+
+    /// @return whether the caller has closed its connection, even if the server has not read so far yet.
+    [[nodiscard]] auto hasLeft() const -> bool
+    {
+        return this->isClosed || (this->hasPeerClosed && this->hasPeerClosed());
+    }
+
     /// @brief Sets a callback that runs once when the caller closes its connection; runs it immediately if the
     /// connection is already closed. A null callback removes the previous one.
     auto onDisconnect(std::function<void()> callback) -> void
@@ -47,6 +56,7 @@
 private:
     bool isClosed = false;
     std::function<void()> callback;
+    std::function<bool()> hasPeerClosed;
 };
 
 /// @brief Limits and timeouts of a server.
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -32,6 +32,8 @@
     case ExchangeError::ConnectFailed:
     case ExchangeError::ConnectTimeout:
         return ResultCode::ConnectFailed;
+    case ExchangeError::TooLate:
+        return ResultCode::DeadlineTooShort;
     case ExchangeError::AnswerTimeout:
         return ResultCode::TargetTimeout;
     case ExchangeError::ConnectionLost:
@@ -50,8 +52,8 @@
 /// Returns whether an attempt with this result counts as sent to its target.
 auto wasSent(ResultCode code) -> bool
 {
-    constexpr auto unsentCodes
-        = std::to_array({ ResultCode::ConnectFailed, ResultCode::TargetReplaced, ResultCode::NoTarget });
+    constexpr auto unsentCodes = std::to_array(
+        { ResultCode::ConnectFailed, ResultCode::TargetReplaced, ResultCode::NoTarget, ResultCode::DeadlineTooShort });
     return std::ranges::find(unsentCodes, code) == unsentCodes.end();
 }
 
@@ -407,6 +409,7 @@
     if (live == nullptr)
         return { ResultCode::NoTarget, {}, busyRetryAfter };
     auto cancel = ExchangeCancel {};
+    cancel.isAbandoned = [&call] { return call.caller->hasLeft(); };
     auto exchangeOption = ExchangeOption { .deadline = call.deadline, .cancel = &cancel };
     exchangeOption.connectionLimit = admission.targets().connectionLimit(target);
     exchangeOption.idField = this->dialect->requestIdField();
--- a/src/citronloft/edge/gateway_forwarding.cpp
+++ b/src/citronloft/edge/gateway_forwarding.cpp
@@ -20,11 +20,13 @@
 }
 
 /// Returns the result of a request that must not be sent any more: while it waited, its caller may have disconnected,
-/// its key may have been withdrawn, and it may have been quarantined.
+/// its deadline may have passed, its key may have been withdrawn, and it may have been quarantined.
 auto Gateway::reasonNotToSend(Call& call, const Progress& progress) const -> std::optional<ResultCode>
 {
     if (call.caller->isDisconnected())
         return ResultCode::CallerGone;
+    if (this->clock.now() >= call.deadline)
+        return progress.uncertainResult.value_or(ResultCode::DeadlineTooShort);
     if (!this->isStillAuthorized(call))
         return progress.uncertainResult.value_or(ResultCode::KeyUnknown);
     if (this->isQuarantined(call))
--- a/src/citronloft/edge/http_client.cpp
+++ b/src/citronloft/edge/http_client.cpp
@@ -248,10 +248,13 @@
         const ExchangeOption& exchangeOption, Exchange& result, asio::yield_context yield) -> bool
     {
         auto* cancel = exchangeOption.cancel;
-        if (cancel != nullptr && cancel->isRequested) {
+        // Opening the connection, or a busy event loop, may have taken all the time that was left.
+        if (this->clock.now() >= exchangeOption.deadline)
+            result.error = ExchangeError::TooLate;
+        if (cancel != nullptr && cancel->isDue())
             result.error = ExchangeError::Cancelled;
+        if (result.error != ExchangeError::None)
             return true;
-        }
         if (cancel != nullptr)
             cancel->action = [&connection] { connection.stream.close(); };
         result.sent = true;
--- a/src/citronloft/edge/http_client_test.cpp
+++ b/src/citronloft/edge/http_client_test.cpp
@@ -167,6 +167,32 @@
     }
 }
 
+/// Guards against requests that are sent on when nobody waits for them any more: the deadline has passed, or the caller
+/// has left without the event loop having noticed.
+TEST_F(HttpClientTest, RequestThatNobodyWaitsForIsNotSent)
+{
+    auto target = RawServer(this->context, { { response(200, "", "") } });
+    this->run([&](boost::asio::yield_context yield) {
+        const auto request = HttpRequest { "GET", "/x", {}, {} };
+        const auto later = this->clock.now() + 5s;
+        EXPECT_EQ(
+            this->client->exchange(target.address(), request, { .deadline = later }, yield).error, ExchangeError::None);
+        const auto late = this->client->exchange(target.address(), request, { .deadline = this->clock.now() }, yield);
+        EXPECT_EQ(late.error, ExchangeError::TooLate);
+        auto cancel = ExchangeCancel {};
+        cancel.isAbandoned = [] { return true; };
+        const auto abandoned
+            = this->client->exchange(target.address(), request, { .deadline = later, .cancel = &cancel }, yield);
+        EXPECT_EQ(abandoned.error, ExchangeError::Cancelled);
+        for (const auto* exchange : { &late, &abandoned }) {
+            EXPECT_TRUE(exchange->reused);
+            EXPECT_FALSE(exchange->sent);
+        }
+        EXPECT_EQ(this->client->openConnections(target.address()), 1U) << "the connection stays usable";
+    });
+    EXPECT_EQ(target.requests.size(), 1U);
+}
+
 /// Guards against an answer whose trailer ends the process that reads it.
 TEST_F(HttpClientTest, LongTrailerEndsOnlyItsExchange)
 {
--- a/src/citronloft/edge/http_session.cpp
+++ b/src/citronloft/edge/http_session.cpp
@@ -197,6 +197,10 @@
     pendingRequest->isLast = !keepsAlive || this->sessionContext->closesConnections;
     pendingRequest->caller = std::make_shared<CallerContext>();
     pendingRequest->caller->caller = this->peer;
+    pendingRequest->caller->setCloseProbe([weak = this->weak_from_this()] {
+        const auto self = weak.lock();
+        return !self || self->hasPeerClosed();
+    });
     this->pendingRequests.push_back(pendingRequest);
     startCoroutine(this->sessionContext->context, "http-handler",
         [self = this->shared_from_this(), pendingRequest, plain = std::move(request)](
@@ -291,6 +295,19 @@
     }
 }
 
+/// Asks the socket, since a busy event loop reads a close later than the request before it. Requests that follow on the
+/// connection hide the close until they are read.
+auto HttpSession::hasPeerClosed() -> bool
+{
+    if (this->isClosed)
+        return true;
+    auto error = beast::error_code {};
+    auto byte = char {};
+    this->socket.non_blocking(true, error);
+    this->socket.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
+    return error && error != asio::error::would_block;
+}
+
 auto HttpSession::closeConnection() -> void
 {
     if (std::exchange(this->isClosed, true))
--- a/src/citronloft/edge/http_session.hpp
+++ b/src/citronloft/edge/http_session.hpp
@@ -76,6 +76,7 @@
     auto writeReadyResponses(boost::asio::yield_context yield) -> void;
     auto writeResponse(PendingRequest& pendingRequest, boost::asio::yield_context yield) -> bool;
     auto discardUntilClosed(boost::asio::yield_context yield) -> void;
+    [[nodiscard]] auto hasPeerClosed() -> bool;
     auto closeConnection() -> void;
 
     std::shared_ptr<HttpSessionContext> sessionContext;
--- a/src/citronloft/edge/spill_router.cpp
+++ b/src/citronloft/edge/spill_router.cpp
@@ -116,6 +116,7 @@
         = SpillTicket { call.team == nullptr ? "" : call.team->name, call.route->name, randomId(), reason, attempts };
     request.fields.set(spillHeader, this->signer.sign(ticket, request));
     auto cancel = ExchangeCancel {};
+    cancel.isAbandoned = [&call] { return call.caller->hasLeft(); };
     auto exchangeOption = ExchangeOption { .deadline = call.deadline, .cancel = &cancel };
     if (!call.route->idempotent || reason != SpillReason::NoCapacity)
         exchangeOption.maxIdleTime = this->option.nonIdempotentMaxIdleTime;
--- a/src/citronloft/edge/target_path_monitor.cpp
+++ b/src/citronloft/edge/target_path_monitor.cpp
@@ -84,6 +84,7 @@
     case ExchangeError::ConnectionLost:
         this->path.recordLoss(target, now);
         break;
+    case ExchangeError::TooLate:
     case ExchangeError::Cancelled:
         break;
     }
