Requests that would outlast a planned stop are not begun

Other operators saw requests that came late in the grace of one host's planned stop cut without an answer, among them some that may not be repeated (LOST).

Cause: the time of the exit was compared with no request's deadline, and a connection with an unanswered request went on reading after the service had closed.

Change: unsafe requests whose deadline is after the exit are refused as not run from the stop's beginning on, all others once the service has closed; requests behind another one are not read then; what is unsent at 90 % of the stop time is refused; a second SIGTERM closes the service at once.

--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -94,6 +94,16 @@
     /// and look-ups omit it.
     auto setReachesTargets(bool reaches) -> void;
 
+    /// @brief Prepares for the host's exit at `exitAt`: requests that may not be repeated are refused if their deadline
+    /// is later, so that none is cut off while a target runs it.
+    auto beginStop(TimePoint exitAt) -> void { this->exitAt = exitAt; }
+
+    /// @brief Refuses every further request whose deadline is after the host's exit.
+    auto closeToLongRequests() -> void { this->acceptsLongRequests = false; }
+
+    /// @brief Refuses all requests that wait to be sent to a target, and those that follow.
+    auto refuseUnsent() -> void;
+
     /// @brief Handles one request.
     auto handle(HttpRequest& request, CallerContext& caller, boost::asio::yield_context yield) -> HttpResponse;
 
@@ -161,6 +171,7 @@
     auto requirementsOf(const Call& call) -> TargetRequirements;
     auto setDeadline(Call& call) const -> void;
     auto admitRate(const Call& call, boost::asio::yield_context yield) -> RateDecision;
+    [[nodiscard]] auto outlastsHost(const Call& call) const -> bool;
     [[nodiscard]] auto isStillAuthorized(const Call& call) const -> bool;
     [[nodiscard]] auto reasonNotToSend(Call& call, const Progress& progress) const -> std::optional<ResultCode>;
     [[nodiscard]] auto lacksPath(const Progress& progress) const -> bool;
@@ -237,6 +248,10 @@
     std::map<std::string, std::unique_ptr<PoolAdmission>> admissions;
     std::size_t inFlightRequests = 0;
     bool reachesTargets = true;
+    /// Time of the host's exit, once a planned stop has begun.
+    TimePoint exitAt = TimePoint::max();
+    bool acceptsLongRequests = true;
+    bool refusesUnsent = false;
     TimePoint lastRequestTime {};
 };
 
--- a/include/citronloft/edge/http_server.hpp
+++ b/include/citronloft/edge/http_server.hpp
@@ -85,7 +85,8 @@
     /// @brief Makes every later response close its connection, unless another request was already read after it.
     virtual auto closeAfterAnswers() -> void = 0;
 
-    /// @brief Stops accepting connections and closes those without an unanswered request.
+    /// @brief Stops accepting connections and closes those without an unanswered request; the others read no further
+    /// request and are closed after their last response.
     virtual auto closeIdle() -> void = 0;
 
     /// @brief Sets the limits for requests that are read after this call.
--- a/include/citronloft/policy/stop_window.hpp
+++ b/include/citronloft/policy/stop_window.hpp
@@ -31,12 +31,20 @@
     /// @return whether connections can be closed at `now`.
     [[nodiscard]] auto canClose(TimePoint now, TimePoint lastRequestAt) const -> bool;
 
+    /// @return whether requests that were not sent to a target by `now` must be refused, so that the refusals are
+    /// delivered before the host exits.
+    [[nodiscard]] auto refusesUnsent(TimePoint now) const -> bool { return now >= this->unsentRefusedAt; }
+
     /// @return whether the host has to exit at `now` even if requests are in flight.
     [[nodiscard]] auto isOverdue(TimePoint now) const -> bool;
 
+    /// @return the time at which the host exits at the latest.
+    [[nodiscard]] auto latestExitAt() const -> TimePoint { return this->overdueAt; }
+
 private:
     TimePoint earliestCloseAt;
     TimePoint latestCloseAt;
+    TimePoint unsentRefusedAt;
     TimePoint overdueAt;
 };
 
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -248,6 +248,7 @@
     const auto active = this->fleet->config().active();
     const auto ttl = active ? active->config.settings.lookupTtl : std::chrono::milliseconds { 0 };
     this->stopWindow = StopWindow({ this->leavingSince, ttl, this->settings.maxStopDuration });
+    this->gateway->beginStop(this->stopWindow.latestExitAt());
     this->fleet->leave();
     this->gateway->refreshLookups();
     this->service->closeAfterAnswers();
@@ -323,10 +324,14 @@
 auto Host::advanceStop(TimePoint now) -> void
 {
     const auto isOverdue = this->stopWindow.isOverdue(now);
-    if (this->stopWindow.canClose(now, this->gateway->lastRequestAt()) && !std::exchange(this->isServiceClosed, true)) {
+    const auto canClose = this->isStopExpedited || this->stopWindow.canClose(now, this->gateway->lastRequestAt());
+    if (canClose && !std::exchange(this->isServiceClosed, true)) {
         LogEvent(LogLevel::Info, "service-closed").with("in_flight", this->service->inFlight());
+        this->gateway->closeToLongRequests();
         this->service->closeIdle();
     }
+    if (this->stopWindow.refusesUnsent(now))
+        this->gateway->refuseUnsent();
     if (!this->isDrained() && !isOverdue)
         return;
     this->lifecycle->process(HostEvent::Drained);
@@ -335,8 +340,7 @@
     this->shutDown(isOverdue ? exitNotDrained : exitClean);
 }
 
-/// Requests in flight are always completed; an expedited stop skips only the wait for cached look-ups to expire and for
-/// the hand-over.
+/// An expedited stop skips the wait for cached look-ups to expire and for the hand-over.
 auto Host::isDrained() const -> bool
 {
     if (this->service->inFlight() > 0)
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <utility>
 
 #include "citronloft/base/digest.hpp"
 #include "citronloft/edge/waiter.hpp"
@@ -20,6 +21,8 @@
 constexpr auto firstAttemptTimeoutFactor = 8;
 /// Weight of the most recent response in a route's smoothed latency.
 constexpr auto latencyWeight = 0.1;
+/// Other hosts take the request at once.
+constexpr auto leavingRetryAfter = std::chrono::milliseconds { 50 };
 /// Number of queue ranks, one per route priority, within each team priority.
 constexpr auto ranksPerTeamPriority = 1000U;
 constexpr auto firstServerErrorStatus = 500U;
@@ -167,6 +170,8 @@
     if (this->isQuarantined(call))
         return { ResultCode::RequestQuarantined, {}, {} };
     this->setDeadline(call);
+    if (this->outlastsHost(call))
+        return { ResultCode::HostLeaving, {}, leavingRetryAfter };
     const auto rate = this->admitRate(call, yield);
     if (!rate.admitted)
         return { ResultCode::RateExceeded, {}, rate.retryAfter };
@@ -483,9 +488,27 @@
     if (this->isQuarantined(call))
         return { ResultCode::RequestQuarantined, {}, {} };
     this->setDeadline(call);
+    if (this->outlastsHost(call))
+        return { ResultCode::HostLeaving, {}, leavingRetryAfter };
     return this->runAttempts(call, yield);
 }
 
+/// Returns whether a request could still be running at a target when this host exits, and must go to another host.
+auto Gateway::outlastsHost(const Call& call) const -> bool
+{
+    if (this->refusesUnsent)
+        return true;
+    return call.deadline > this->exitAt && (!call.route->idempotent || !this->acceptsLongRequests);
+}
+
+auto Gateway::refuseUnsent() -> void
+{
+    if (std::exchange(this->refusesUnsent, true))
+        return;
+    for (auto& [name, admission] : this->admissions)
+        admission->refuseQueued(ResultCode::HostLeaving);
+}
+
 auto Gateway::setDeadline(Call& call) const -> void
 {
     call.deadline
--- a/src/citronloft/edge/gateway_forwarding.cpp
+++ b/src/citronloft/edge/gateway_forwarding.cpp
@@ -27,6 +27,8 @@
         return ResultCode::CallerGone;
     if (this->clock.now() >= call.deadline)
         return progress.uncertainResult.value_or(ResultCode::DeadlineTooShort);
+    if (this->refusesUnsent)
+        return progress.uncertainResult.value_or(ResultCode::HostLeaving);
     if (!this->isStillAuthorized(call))
         return progress.uncertainResult.value_or(ResultCode::KeyUnknown);
     if (this->isQuarantined(call))
--- a/src/citronloft/edge/http_server.cpp
+++ b/src/citronloft/edge/http_server.cpp
@@ -55,7 +55,7 @@
         auto ignored = boost::system::error_code {};
         this->acceptor.close(ignored);
         for (const auto& session : this->sessions)
-            session->closeIfIdle();
+            session->stopReading();
     }
 
     auto setLimits(const CallerLimits& limits) -> void override
--- a/src/citronloft/edge/http_session.cpp
+++ b/src/citronloft/edge/http_session.cpp
@@ -96,12 +96,12 @@
     this->closeConnection();
 }
 
-auto HttpSession::closeIfIdle() -> void
+auto HttpSession::stopReading() -> void
 {
+    // Callers resend requests that were not read before their connection closed.
+    this->isReadingStopped = true;
     if (this->unansweredRequests() > 0)
         return;
-    // A request whose bytes have arrived can no longer be answered, so it must not be handled.
-    this->isReadingStopped = true;
     auto ignored = beast::error_code {};
     this->socket.shutdown(Tcp::socket::shutdown_both, ignored);
 }
@@ -257,7 +257,8 @@
 /// @return whether another response may follow.
 auto HttpSession::writeResponse(PendingRequest& pendingRequest, asio::yield_context yield) -> bool
 {
-    const auto isNothingReadAfter = this->pendingRequests.size() == 1 && !this->isReading && this->buffer.size() == 0;
+    const auto isNothingReadAfter
+        = this->pendingRequests.size() == 1 && !this->isReading && (this->isReadingStopped || this->buffer.size() == 0);
     const auto isLast = pendingRequest.isLast
         || (isNothingReadAfter && (this->sessionContext->closesConnections || pendingRequest.requestsClose));
     if (isLast)
--- a/src/citronloft/edge/http_session.hpp
+++ b/src/citronloft/edge/http_session.hpp
@@ -39,8 +39,8 @@
     /// @brief Reads and handles requests until the connection is closed; an exception closes it.
     auto runUntilClosed(boost::asio::yield_context yield) -> void;
 
-    /// @brief Closes the connection if it has no unanswered request.
-    auto closeIfIdle() -> void;
+    /// @brief Reads no further request, and closes the connection if it has no unanswered one.
+    auto stopReading() -> void;
 
     /// @brief Closes the connection if one of its time limits has passed.
     auto closeIfOverdue(TimePoint now) -> void;
--- a/src/citronloft/edge/http_test.cpp
+++ b/src/citronloft/edge/http_test.cpp
@@ -466,6 +466,39 @@
     EXPECT_EQ(this->handledRequests, 1);
 }
 
+/// Guards against requests that begin late in a planned stop, since they come behind a slow one.
+TEST_F(HttpTest, RequestBehindAnotherIsNotReadAfterServerCloses)
+{
+    this->handle = [this](HttpRequest&, CallerContext&, boost::asio::yield_context yield) {
+        auto error = boost::system::error_code {};
+        auto timer = boost::asio::steady_timer(this->context, 100ms);
+        timer.async_wait(yield[error]);
+        return HttpResponse {};
+    };
+    const auto address = this->startServer();
+    const auto request = std::string { "GET /x HTTP/1.1\r\nHost: x\r\n\r\n" };
+    this->run([&](boost::asio::yield_context yield) {
+        auto error = boost::system::error_code {};
+        auto socket = boost::asio::ip::tcp::socket(this->context);
+        socket.async_connect({ boost::asio::ip::make_address(address.ip), address.port }, yield);
+        boost::asio::async_write(socket, boost::asio::buffer(request), yield);
+        auto timer = boost::asio::steady_timer(this->context);
+        while (this->server->inFlight() == 0) {
+            timer.expires_after(1ms);
+            timer.async_wait(yield);
+        }
+        this->server->closeIdle();
+        boost::asio::async_write(socket, boost::asio::buffer(request), yield);
+        auto answers = std::string {};
+        boost::asio::async_read(socket, boost::asio::dynamic_buffer(answers), yield[error]);
+        EXPECT_EQ(error, boost::asio::error::eof);
+        EXPECT_TRUE(answers.starts_with("HTTP/1.1 200")) << answers;
+        EXPECT_NE(answers.find("Connection: close"), std::string::npos) << answers;
+        EXPECT_EQ(answers.find("HTTP/1.1", 1), std::string::npos) << answers;
+    });
+    EXPECT_EQ(this->handledRequests, 1);
+}
+
 TEST_F(HttpTest, PartiallyReadRequestIsAnsweredWhenServerCloses)
 {
     const auto address = this->startServer();
--- a/src/citronloft/policy/stop_window.cpp
+++ b/src/citronloft/policy/stop_window.cpp
@@ -12,6 +12,8 @@
 /// New requests are accepted for at most the stop time divided by this value; the rest is reserved for requests in
 /// flight.
 constexpr auto acceptDivisor = 2;
+/// Percentage of the stop time after which requests that were not sent to a target are refused.
+constexpr auto refusePercent = 90;
 /// Percentage of the stop time after which the host exits even if requests are still in flight.
 constexpr auto overduePercent = 95;
 constexpr auto percentBase = 100;
@@ -21,6 +23,7 @@
 StopWindow::StopWindow(StopWindowOption option)
     : earliestCloseAt(option.stopStartedAt + std::min(option.lookupTtl + quietPeriod, option.stopTime / acceptDivisor))
     , latestCloseAt(option.stopStartedAt + option.stopTime / acceptDivisor)
+    , unsentRefusedAt(option.stopStartedAt + option.stopTime * refusePercent / percentBase)
     , overdueAt(option.stopStartedAt + option.stopTime * overduePercent / percentBase)
 {
 }
--- a/src/citronloft/policy/stop_window_test.cpp
+++ b/src/citronloft/policy/stop_window_test.cpp
@@ -41,9 +41,17 @@
     EXPECT_TRUE(window.canClose(start + milliseconds { 500 }, start + milliseconds { 499 }));
 }
 
+TEST(StopWindowTest, RefusesUnsentRequestsBeforeItIsOverdue)
+{
+    const auto window = makeWindow();
+    EXPECT_FALSE(window.refusesUnsent(start + milliseconds { 17'999 }));
+    EXPECT_TRUE(window.refusesUnsent(start + milliseconds { 18'000 }));
+}
+
 TEST(StopWindowTest, IsOverdueNearTheEndOfItsTime)
 {
     const auto window = makeWindow();
+    EXPECT_EQ(window.latestExitAt(), start + milliseconds { 19'000 });
     EXPECT_FALSE(window.isOverdue(start + milliseconds { 19'000 }));
     EXPECT_TRUE(window.isOverdue(start + milliseconds { 19'001 }));
 }
