Only a run that appears after a loss shows that its target has ended

Found on reading the diff: where the entry of an earlier run is still listed beside the present one, a lost answer of the present run was taken for its end. TargetPathMonitorTest.EarlierRunAtTheAddressSaysNothingOfALoss fails without the comparison with the runs listed before.

--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -98,8 +98,8 @@
     /// is later, so that none is cut off while a target runs it.
     auto beginStop(TimePoint exitAt) -> void { this->exitAt = exitAt; }
 
-    /// @brief Refuses every further request whose deadline is after the host's exit.
-    auto closeToLongRequests() -> void { this->acceptsLongRequests = false; }
+    /// @brief Refuses every further request whose deadline is after the host's exit, also those that may be repeated.
+    auto refuseLongRequests() -> void { this->acceptsLongRequests = false; }
 
     /// @brief Refuses all requests that wait to be sent to a target, and those that follow.
     auto refuseUnsent() -> void;
--- a/include/citronloft/edge/http_client.hpp
+++ b/include/citronloft/edge/http_client.hpp
@@ -73,8 +73,11 @@
             this->action();
     }
 
-    /// @return whether the request must not be sent any more.
-    [[nodiscard]] auto isDue() const -> bool { return this->isRequested || (this->isAbandoned && this->isAbandoned()); }
+    /// @return whether the exchange is cancelled, or would be if its caller were asked.
+    [[nodiscard]] auto isCancelled() const -> bool
+    {
+        return this->isRequested || (this->isAbandoned && this->isAbandoned());
+    }
 
     /// @brief Closes the connection; set by the client while the exchange is in progress.
     std::function<void()> action;
--- a/include/citronloft/edge/target_path_monitor.hpp
+++ b/include/citronloft/edge/target_path_monitor.hpp
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -69,7 +70,7 @@
 private:
     auto probe(const PathTarget& target, TimePoint startedAt) -> void;
     auto probeLostTarget(const LostTarget& target, TimePoint startedAt) -> void;
-    auto recordRuns(const std::vector<LiveTarget>& targets) -> void;
+    auto recordNewRuns(const std::string& pool, const std::vector<LiveTarget>& targets) -> void;
     auto logTargetEnd(const std::string& target, std::string_view evidence) -> void;
     auto logChange(const PathChange& change, TimePoint now) -> void;
 
@@ -82,6 +83,8 @@
     LostTargets lostTargets;
     /// By pool.
     std::map<std::string, std::vector<PathTarget>> targets;
+    /// Keys of the targets that discovery lists, by pool.
+    std::map<std::string, std::set<std::string>> runs;
     TimePoint lostAt {};
 };
 
--- a/include/citronloft/policy/held_losses.hpp
+++ b/include/citronloft/policy/held_losses.hpp
@@ -52,7 +52,7 @@
     /// @return whether a loss with it was held that was not known to be one of its end.
     auto recordTargetEnd(const std::string& target) -> bool;
 
-    /// @brief Records the target that is now at an address; an earlier run there has ended.
+    /// @brief Records a run that has appeared at an address; an earlier run there has ended.
     /// @return the keys of the earlier runs that losses are held of.
     auto recordRun(const std::string& address, const std::string& target) -> std::vector<std::string>;
 
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -327,7 +327,7 @@
     const auto canClose = this->isStopExpedited || this->stopWindow.canClose(now, this->gateway->lastRequestAt());
     if (canClose && !std::exchange(this->isServiceClosed, true)) {
         LogEvent(LogLevel::Info, "service-closed").with("in_flight", this->service->inFlight());
-        this->gateway->closeToLongRequests();
+        this->gateway->refuseLongRequests();
         this->service->closeIdle();
     }
     if (this->stopWindow.refusesUnsent(now))
--- a/src/citronloft/edge/http_client.cpp
+++ b/src/citronloft/edge/http_client.cpp
@@ -251,7 +251,7 @@
         // Opening the connection, or a busy event loop, may have taken all the time that was left.
         if (this->clock.now() >= exchangeOption.deadline)
             result.error = ExchangeError::TooLate;
-        if (cancel != nullptr && cancel->isDue())
+        if (cancel != nullptr && cancel->isCancelled())
             result.error = ExchangeError::Cancelled;
         if (result.error != ExchangeError::None)
             return true;
--- a/src/citronloft/edge/target_path_monitor.cpp
+++ b/src/citronloft/edge/target_path_monitor.cpp
@@ -44,18 +44,24 @@
     for (const auto& [name, poolTargets] : this->targets)
         all.insert(all.end(), poolTargets.begin(), poolTargets.end());
     this->path.setTargets(all);
-    this->recordRuns(targets);
+    this->recordNewRuns(pool, targets);
 }
 
-/// Another run at the address of a target shows that the target has ended.
-auto TargetPathMonitor::recordRuns(const std::vector<LiveTarget>& targets) -> void
+/// A run that appears at the address of a target shows that the target has ended. Entries of earlier runs may still be
+/// listed beside it.
+auto TargetPathMonitor::recordNewRuns(const std::string& pool, const std::vector<LiveTarget>& targets) -> void
 {
-    if (this->losses.isEmpty())
-        return;
+    auto listed = std::set<std::string> {};
+    const auto& known = this->runs[pool];
     for (const auto& live : targets) {
-        for (const auto& ended : this->losses.recordRun(live.target.address, live.key()))
+        const auto key = live.key();
+        listed.insert(key);
+        if (known.contains(key))
+            continue;
+        for (const auto& ended : this->losses.recordRun(live.target.address, key))
             this->logTargetEnd(ended, "new-run");
     }
+    this->runs[pool] = std::move(listed);
 }
 
 auto TargetPathMonitor::recordEnd(const std::string& target, const Exchange& exchange, TimePoint startedAt) -> void
--- a/src/citronloft/edge/target_path_monitor_test.cpp
+++ b/src/citronloft/edge/target_path_monitor_test.cpp
@@ -127,6 +127,22 @@
     EXPECT_EQ(this->confirmed.size(), 2U);
 }
 
+/// Guards against a target that is taken for ended since the entry of an earlier run is still listed.
+TEST_F(TargetPathMonitorTest, EarlierRunAtTheAddressSaysNothingOfALoss)
+{
+    auto targets = std::vector<LiveTarget>(2);
+    for (auto& live : targets)
+        live.target = { "127.0.0.1:1", "a", 10, 100, false };
+    targets[0].instance = "i-1";
+    targets[1].instance = "i-2";
+    this->monitor->setTargets("pool", targets, "a");
+    this->run(500ms);
+    this->monitor->holdLoss(7, { targets[1].key(), { "127.0.0.1", 1 } }, this->clock.now());
+    this->monitor->setTargets("pool", targets, "a");
+    this->run(5s);
+    EXPECT_TRUE(this->confirmed.empty());
+}
+
 TEST_F(TargetPathMonitorTest, LossOfLostPathIsNotReported)
 {
     this->run(500ms);
