What a target states belongs to its run, not to its entry

Callers saw: requests sent to a target that had told this host that it was leaving, or that had asked for a pause, after its entry was away for a moment. An answer that arrives while the entry is away was dropped, and an entry that returned under another service began without what its run had stated.

Cause: the statements were a field of the pool's member, found by key in one pool. Statements are now kept by the key of the run in a registry that all pools of a host share; members refer to them. Retention is as before: ten minutes after no pool holds the run, or the end of a longer pause.

No message and no stored object changes.

--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -243,6 +243,7 @@
     /// Without discovery it knows no targets and takes the path as reached.
     std::shared_ptr<TargetPathMonitor> pathMonitor;
     SpillRouter spillRouter;
+    std::shared_ptr<TargetStatementRegistry> targetStatements = std::make_shared<TargetStatementRegistry>();
     std::shared_ptr<const ConfigSnapshot> snapshot;
     WithdrawnKeys withdrawnKeys;
     std::map<std::string, std::unique_ptr<PoolAdmission>> admissions;
--- a/include/citronloft/policy/target_pool.hpp
+++ b/include/citronloft/policy/target_pool.hpp
@@ -19,7 +19,7 @@
 #include "citronloft/policy/request_pacer.hpp"
 #include "citronloft/policy/target_health.hpp"
 #include "citronloft/policy/target_load.hpp"
-#include "citronloft/policy/target_statements.hpp"
+#include "citronloft/policy/target_statement_registry.hpp"
 
 namespace citronloft {
 
@@ -132,7 +132,9 @@
     /// @param isRecent whether any host has observed the limit recently.
     using LimitShare = std::function<double(const LiveTarget& target, double perSecond, bool isRecent)>;
 
-    TargetPool(TargetPoolOption option, std::uint64_t seed);
+    /// @param statements what targets have stated; pools that share it know what a target has said to any of them.
+    TargetPool(TargetPoolOption option, std::uint64_t seed,
+        std::shared_ptr<TargetStatementRegistry> statements = std::make_shared<TargetStatementRegistry>());
 
     /// @brief Sets the targets from a static configuration; targets that remain keep their state.
     auto setTargets(const std::vector<Target>& targets, TimePoint now) -> void;
@@ -184,7 +186,7 @@
     auto revokeEjections(TimePoint since) -> void;
 
     /// @brief Records that a target is about to stop. This run of it gets no further requests, even if its entry says
-    /// otherwise or returns after an absence, unless no other target of its region can take them.
+    /// otherwise, is away, or returns after an absence, unless no other target of its region can take them.
     /// @return whether the target had not said so before.
     auto recordLeaving(const std::string& key, TimePoint now) -> bool;
 
@@ -256,7 +258,7 @@
         bool hasReport = false;
         bool reportedDraining = false;
         bool isMisdirected = false;
-        TargetStatements statements;
+        std::shared_ptr<TargetStatements> statements;
         AnnouncedLimit announcedLimit;
         /// Spaces requests while the target is cold or announces a limit.
         RequestPacer pacer;
@@ -273,12 +275,6 @@
         TimePoint expiresAt;
     };
 
-    /// Statements of a target that is no longer in the pool and may return.
-    struct DepartedStatements {
-        TargetStatements statements;
-        TimePoint expiresAt;
-    };
-
     struct Scored {
         double score = 0;
         double load = 0;
@@ -292,8 +288,6 @@
     auto startRequest(Member& member, TimePoint now) -> std::string;
     auto retainLimits(TimePoint now) -> void;
     auto restoreLimit(Member& member) -> void;
-    auto retainStatements(TimePoint now) -> void;
-    auto restoreStatements(Member& member) -> void;
     auto applyLimitChange(Member& member, LimitChange change, TimePoint now) -> void;
     [[nodiscard]] auto isCold(const Member& member, TimePoint now) const -> bool;
     [[nodiscard]] auto isRateLimited(const Member& member, TimePoint now) const -> bool;
@@ -317,6 +311,7 @@
 
     TargetPoolOption option;
     pcg32 random;
+    std::shared_ptr<TargetStatementRegistry> statementRegistry;
     std::vector<Member> members;
     /// Indexes into `members` by key and by the low 32 bits of its hash.
     std::unordered_map<std::string, std::size_t> indexByKey;
@@ -328,7 +323,6 @@
     LimitShare limitShare;
     /// By key of the target.
     std::unordered_map<std::string, DepartedLimit> departedLimits;
-    std::unordered_map<std::string, DepartedStatements> departedStatements;
     std::vector<std::string> unreportedLimits;
     double hostFraction = 1;
     Duration meanLatency = std::chrono::milliseconds { 5 };
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -102,7 +102,7 @@
         if (!admission) {
             const auto makeQueue = queueFactories.at(static_cast<std::size_t>(this->option.queue));
             admission = std::make_unique<PoolAdmission>(this->context, this->clock, makeQueue(this->option.queueLimits),
-                TargetPool(this->option.targets, randomId()));
+                TargetPool(this->option.targets, randomId(), this->targetStatements));
             admission->targets().setColdRateShare(this->coldRateShare);
             admission->targets().setLimitShare(this->limitShare);
         }
--- a/src/citronloft/policy/target_pool.cpp
+++ b/src/citronloft/policy/target_pool.cpp
@@ -46,9 +46,10 @@
     return option;
 }
 
-TargetPool::TargetPool(TargetPoolOption option, std::uint64_t seed)
+TargetPool::TargetPool(TargetPoolOption option, std::uint64_t seed, std::shared_ptr<TargetStatementRegistry> statements)
     : option(option)
     , random(seed)
+    , statementRegistry(std::move(statements))
 {
 }
 
@@ -73,15 +74,15 @@
             member.hash = XXH3_64bits(key.data(), key.size());
             member.rampStartedAt = now;
             this->restoreLimit(member);
-            this->restoreStatements(member);
+            member.statements = this->statementRegistry->statementsOf(key);
         }
         member.live = live;
         this->updateDrain(member);
         kept.push_back(std::move(member));
     }
     this->retainLimits(now);
-    this->retainStatements(now);
     this->members = std::move(kept);
+    this->statementRegistry->expire(now);
     this->indexByKey.clear();
     this->indexByHash.clear();
     for (auto index = std::size_t { 0 }; index < this->members.size(); ++index) {
@@ -318,7 +319,7 @@
     for (const auto& member : this->members)
         list.push_back(
             { member.live.target.address, member.health->state(), member.inFlight, this->limitOf(member, now),
-                member.announcedLimit.perSecond(), member.statements.isLeaving(), member.statements.pausedUntil() });
+                member.announcedLimit.perSecond(), member.statements->isLeaving(), member.statements->pausedUntil() });
     return list;
 }
 
--- a/src/citronloft/policy/target_pool_statements_test.cpp
+++ b/src/citronloft/policy/target_pool_statements_test.cpp
@@ -94,6 +94,58 @@
     EXPECT_GT(this->place(restarted.front().key()), 0);
 }
 
+/// Answers to requests that are under way arrive while the target's entry is away.
+TEST_F(TargetPoolStatementsTest, StatementsWithoutAnEntryAreInForceWhenTheEntryReturns)
+{
+    this->setTargets({ targets().back() });
+    EXPECT_TRUE(this->pool().recordLeaving(this->stating, this->now));
+    this->now += 3min;
+    this->setTargets(targets());
+    EXPECT_EQ(this->place(this->stating), 0);
+    this->setTargets({ targets().front() });
+    this->now += 3s;
+    EXPECT_TRUE(this->pool().recordPause(this->other, this->now + 1min, this->now));
+    this->setTargets(targets());
+    EXPECT_EQ(this->place(this->other), 0);
+}
+
+/// A run can be moved to another service, whose pool has not seen its answers.
+TEST_F(TargetPoolStatementsTest, StatementsOfARunHoldInEveryPool)
+{
+    const auto statements = std::make_shared<TargetStatementRegistry>();
+    auto first = TargetPool(discoveredPoolOption(), 42, statements);
+    auto second = TargetPool(discoveredPoolOption(), 43, statements);
+    first.setLiveTargets(targets(), this->now);
+    EXPECT_TRUE(first.recordLeaving(this->stating, this->now));
+    first.setLiveTargets({ targets().back() }, this->now);
+    second.setLiveTargets(targets(), this->now);
+    for (auto object = 0; object < 50; ++object)
+        EXPECT_NE(second.acquireFor(requirementsFor(object), this->now), this->stating);
+}
+
+/// The memory of statements must not grow with the number of targets that have ever left.
+TEST(TargetStatementRegistryTest, ForgetsRunsThatNoPoolHoldsAnyMore)
+{
+    auto now = TimePoint { 1h };
+    auto registry = TargetStatementRegistry {};
+    auto held = registry.statementsOf("run-1");
+    held->recordLeaving(now);
+    registry.statementsOf("run-2")->recordLeaving(now);
+    registry.statementsOf("run-3");
+    registry.expire(now);
+    EXPECT_EQ(registry.size(), 2U) << "a run that has said nothing is not kept";
+    registry.expire(now + 9min);
+    EXPECT_EQ(registry.size(), 2U);
+    registry.expire(now + 20min);
+    EXPECT_EQ(registry.size(), 1U);
+    EXPECT_TRUE(held->isLeaving());
+    held.reset();
+    registry.expire(now + 21min);
+    EXPECT_EQ(registry.size(), 1U) << "retained from when it was last held";
+    registry.expire(now + 40min);
+    EXPECT_EQ(registry.size(), 0U);
+}
+
 TEST_F(TargetPoolStatementsTest, TargetsThatAllLeaveAreUsedForALimitedTime)
 {
     this->pool().recordLeaving(this->stating, this->now);
