A host takes note of what a target states in an answer that another host received

Cause: only answers of a host's own exchanges were read for statements. Answers that came through another host (connection failed, path lost, zone without slots) were returned to the caller unread, and could not have been ascribed: nothing told the first host which target had answered.

The response to a forwarded request now names the run that answered (Citronloft-Spill-Target). The field is listed in Connection, so that hosts of the version in production, which remove hop-by-hop fields, do not pass it to callers; an answer of such a host names no target and is handled as before. SpillResult tests show both directions. The log line request-forwarded names the target.

--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -204,6 +204,7 @@
         const TargetFields& fields, TimePoint sentAt) -> void;
     auto recordStatements(const Call& call, const std::string& target, ResultCode code, const TargetFields& fields)
         -> void;
+    auto recordForwardedStatements(const Call& call, const CallResult& result) -> void;
     [[nodiscard]] auto retryAfterOf(PoolAdmission& admission) const -> Duration;
     auto reportLimits() -> void;
     auto logRateLimit(const LimitUpdate& update, const std::string& pool, std::string_view source) -> void;
--- a/include/citronloft/edge/spill.hpp
+++ b/include/citronloft/edge/spill.hpp
@@ -22,6 +22,10 @@
 /// @brief Header field of the response to a forwarded request that carries its SpillResult; never sent to callers.
 inline constexpr auto spillResultHeader = "Citronloft-Spill-Result";
 
+/// @brief Header field of such a response that carries the key of the target that answered. It is listed in Connection,
+/// so that a host that does not know it removes it.
+inline constexpr auto spillTargetHeader = "Citronloft-Spill-Target";
+
 /// @brief Reason for which a request is forwarded.
 enum class SpillReason : std::uint8_t {
     /// The sending host's zone has no free slot. The receiving host admits the request only if it has free slots.
@@ -52,15 +56,18 @@
     ResultCode code = ResultCode::PeerLost;
     /// Number of targets to which the request was sent.
     unsigned sent = 0;
+    /// Key of the target that answered; empty if none did, or if the receiving host does not name it.
+    std::string target {};
 
     auto operator==(const SpillResult&) const -> bool = default;
 };
 
-/// @return the value of the spill result header.
-auto formatSpillResult(const SpillResult& result) -> std::string;
+/// @brief Adds the result of a forwarded request to its response.
+auto addSpillFields(HttpResponse& response, const SpillResult& result) -> void;
 
-/// @return the result; nothing if the text is malformed or the code unknown.
-auto parseSpillResult(std::string_view text) -> std::optional<SpillResult>;
+/// @brief Removes the result of a forwarded request from its response.
+/// @return the result; nothing if it is missing, malformed or its code unknown.
+auto takeSpillFields(HttpResponse& response) -> std::optional<SpillResult>;
 
 /// @brief Signs and verifies tickets with the fleet's secret; each ticket is accepted once.
 class SpillSigner {
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -396,8 +396,11 @@
 {
     const auto isForwarded = !progress.uncertainResult && !call.isSpilled && refusal != ResultCode::CallerGone
         && !this->option.discoversTargets;
-    if (isForwarded)
-        return this->spillRouter.forward(call, refusal, call.maxAttempts - progress.sent, yield);
+    if (isForwarded) {
+        auto forwarded = this->spillRouter.forward(call, refusal, call.maxAttempts - progress.sent, yield);
+        this->recordForwardedStatements(call, forwarded);
+        return forwarded;
+    }
     auto& admission = *this->admissions.at(call.pool);
     auto result = CallResult { progress.uncertainResult.value_or(refusal), {}, this->retryAfterOf(admission) };
     result.pool = call.pool;
@@ -556,7 +559,7 @@
                                     result.code, std::chrono::ceil<std::chrono::milliseconds>(result.retryAfter));
     this->dialect->addResultFields(response, result.code, this->snapshot ? this->snapshot->active->version : 0);
     if (request.fields.has(spillHeader))
-        response.fields.set(spillResultHeader, formatSpillResult({ result.code, result.sent }));
+        addSpillFields(response, { result.code, result.sent, result.target });
     return response;
 }
 
--- a/src/citronloft/edge/gateway_forwarding.cpp
+++ b/src/citronloft/edge/gateway_forwarding.cpp
@@ -81,6 +81,7 @@
         call, { reason, requirements.regions, call.maxAttempts - progress.sent, maxHosts }, yield);
     if (!result)
         return std::nullopt;
+    this->recordForwardedStatements(call, *result);
     if (provesNotRun(result->code))
         result->code = progress.uncertainResult.value_or(result->code);
     progress.sent += result->sent;
--- a/src/citronloft/edge/gateway_targets.cpp
+++ b/src/citronloft/edge/gateway_targets.cpp
@@ -206,6 +206,15 @@
         this->logPausedTarget(call, target, **fields.pause);
 }
 
+/// Records what a target states in an answer that another host received. Hosts of older versions do not name the
+/// target.
+auto Gateway::recordForwardedStatements(const Call& call, const CallResult& result) -> void
+{
+    if (result.target.empty())
+        return;
+    this->recordStatements(call, result.target, result.code, this->dialect->parseResponse(result.response));
+}
+
 /// Returns the delay after which a refused request can come back: if all targets that could take it have asked for a
 /// pause, the time until the first one ends.
 auto Gateway::retryAfterOf(PoolAdmission& admission) const -> Duration
--- a/src/citronloft/edge/spill.cpp
+++ b/src/citronloft/edge/spill.cpp
@@ -58,19 +58,12 @@
         *attempts };
 }
 
-} // namespace
-
-auto spillReasonName(SpillReason reason) -> std::string_view
-{
-    return reasonNames.at(static_cast<std::size_t>(reason));
-}
-
-auto formatSpillResult(const SpillResult& result) -> std::string
+auto formatResult(const SpillResult& result) -> std::string
 {
     return std::to_string(static_cast<unsigned>(result.code)) + ";" + std::to_string(result.sent);
 }
 
-auto parseSpillResult(std::string_view text) -> std::optional<SpillResult>
+auto parseResult(std::string_view text) -> std::optional<SpillResult>
 {
     const auto separator = text.find(';');
     if (separator == std::string_view::npos)
@@ -84,6 +77,33 @@
     return SpillResult { info->code, *sent };
 }
 
+} // namespace
+
+auto spillReasonName(SpillReason reason) -> std::string_view
+{
+    return reasonNames.at(static_cast<std::size_t>(reason));
+}
+
+auto addSpillFields(HttpResponse& response, const SpillResult& result) -> void
+{
+    response.fields.set(spillResultHeader, formatResult(result));
+    response.fields.remove(spillTargetHeader);
+    if (result.code != ResultCode::Answered || result.target.empty())
+        return;
+    response.fields.set(spillTargetHeader, result.target);
+    response.fields.add("Connection", spillTargetHeader);
+}
+
+auto takeSpillFields(HttpResponse& response) -> std::optional<SpillResult>
+{
+    auto result = parseResult(response.fields.get(spillResultHeader));
+    if (result && result->code == ResultCode::Answered)
+        result->target = response.fields.get(spillTargetHeader);
+    response.fields.remove(spillResultHeader);
+    response.fields.remove(spillTargetHeader);
+    return result;
+}
+
 SpillSigner::SpillSigner(std::string secret)
     : secret(std::move(secret))
 {
--- a/src/citronloft/edge/spill_router.cpp
+++ b/src/citronloft/edge/spill_router.cpp
@@ -132,16 +132,16 @@
         this->logForwarded(call, host, reason, result);
         return result;
     }
-    const auto reported = parseSpillResult(exchange.response.fields.get(spillResultHeader)).value_or(SpillResult {});
+    const auto reported = takeSpillFields(exchange.response).value_or(SpillResult {});
     const auto isAnswered = reported.code == ResultCode::Answered;
     this->metrics.count("citronloft_spills_total", isAnswered ? "result=\"answered\"" : "result=\"refused\"");
     if (isAnswered)
         this->dialect.sanitizeResponse(exchange.response, call.request->method == "HEAD");
-    exchange.response.fields.remove(spillResultHeader);
     // Hosts of older versions pass on successes that are no response of a target.
     const auto isInvalid = isAnswered && !this->dialect.isTargetResponse(exchange.response, call.fields.requestId);
     result.code = isInvalid ? ResultCode::AnswerCut : reported.code;
     result.sent = reported.sent;
+    result.target = reported.target;
     result.response = std::move(exchange.response);
     this->logForwarded(call, host, reason, result);
     return result;
@@ -160,6 +160,7 @@
         .with("reason", spillReasonName(reason))
         .with("result", resultInfo(result.code).name)
         .with("sent", result.sent)
+        .with("target", result.target)
         .with("left_out", suppressedLines);
 }
 
--- a/src/citronloft/edge/spill_test.cpp
+++ b/src/citronloft/edge/spill_test.cpp
@@ -66,12 +66,53 @@
     }
 }
 
+auto responseWith(const SpillResult& result) -> HttpResponse
+{
+    auto response = HttpResponse {};
+    addSpillFields(response, result);
+    return response;
+}
+
 TEST(SpillResult, IsReadAsItWasWritten)
 {
-    const auto result = SpillResult { ResultCode::TargetShed, 2 };
-    EXPECT_EQ(parseSpillResult(formatSpillResult(result)), result);
-    for (const auto* text : { "", "1000", ";", "1000;", ";1", "1000;x", "9;1", "x;1" })
-        EXPECT_EQ(parseSpillResult(text), std::nullopt) << text;
+    for (const auto& result :
+        { SpillResult { ResultCode::TargetShed, 2, {} }, SpillResult { ResultCode::Answered, 1, "i-1@1000" } }) {
+        auto response = responseWith(result);
+        EXPECT_EQ(takeSpillFields(response), result);
+        EXPECT_FALSE(response.fields.has(spillResultHeader));
+        EXPECT_FALSE(response.fields.has(spillTargetHeader));
+    }
+    for (const auto* text : { "", "1000", ";", "1000;", ";1", "1000;x", "9;1", "x;1" }) {
+        auto response = HttpResponse {};
+        response.fields.set(spillResultHeader, text);
+        EXPECT_EQ(takeSpillFields(response), std::nullopt) << text;
+    }
+}
+
+TEST(SpillResult, OnlyAnswersNameTheirTarget)
+{
+    auto response = responseWith({ ResultCode::TargetShed, 2, "i-1@1000" });
+    EXPECT_FALSE(response.fields.has(spillTargetHeader));
+    response = HttpResponse {};
+    response.fields.set(spillTargetHeader, "i-2@1000");
+    addSpillFields(response, { ResultCode::Answered, 1, {} });
+    EXPECT_FALSE(response.fields.has(spillTargetHeader)) << "a target's own field is not passed on";
+}
+
+/// Hosts of the version before the target was named read the result field as ever and remove hop-by-hop fields.
+TEST(SpillResult, IsUnderstoodByHostsThatDoNotKnowTheTargetField)
+{
+    auto response = responseWith({ ResultCode::Answered, 1, "i-1@1000" });
+    EXPECT_EQ(response.fields.get(spillResultHeader), "1000;1");
+    removeHopByHopFields(response.fields);
+    EXPECT_FALSE(response.fields.has(spillTargetHeader));
+}
+
+TEST(SpillResult, OfAHostThatDoesNotNameTheTargetIsUnderstood)
+{
+    auto response = HttpResponse {};
+    response.fields.set(spillResultHeader, "1000;1");
+    EXPECT_EQ(takeSpillFields(response), (SpillResult { ResultCode::Answered, 1, {} }));
 }
 
 } // namespace
