--- a/programs/citronloftd/components.cpp
+++ b/programs/citronloftd/components.cpp
@@ -9,6 +9,8 @@
 
 constexpr auto tickInterval = std::chrono::milliseconds { 20 };
 constexpr auto probeInterval = std::chrono::milliseconds { 1000 };
+/// Delay of the event loop from which a line is logged; answers of targets and the store are read as late as this.
+constexpr auto loggedLoopDelay = std::chrono::milliseconds { 250 };
 
 } // namespace
 
@@ -47,11 +49,24 @@
     this->timer.async_wait([this](boost::system::error_code error) {
         if (error)
             return;
+        this->recordLoopDelay(this->host.clock.now() - this->timer.expiry());
         this->scheduleTick();
         this->host.supervisor->runGuarded("fleet", [this] { this->host.onTick(); });
     });
 }
 
+auto FleetComponent::recordLoopDelay(Duration delay) -> void
+{
+    this->host.metrics.observe("citronloft_event_loop_delay_seconds", delay);
+    auto suppressedLines = std::uint64_t { 0 };
+    if (delay < loggedLoopDelay || !this->logLimiter.allow("event-loop-late", this->host.clock.now(), suppressedLines))
+        return;
+    LogEvent(LogLevel::Warning, "event-loop-late")
+        .with("delay_ms", std::chrono::duration_cast<std::chrono::milliseconds>(delay).count())
+        .with("in_flight", this->host.gateway->inFlight())
+        .with("left_out", suppressedLines);
+}
+
 ServiceComponent::ServiceComponent(Host& host)
     : host(host)
 {
--- a/programs/citronloftd/components.hpp
+++ b/programs/citronloftd/components.hpp
@@ -2,6 +2,7 @@
 /// @brief Supervised components of the daemon.
 #pragma once
 
+#include "citronloft/base/log_limiter.hpp"
 #include "host.hpp"
 
 namespace citronloft {
@@ -16,9 +17,11 @@
 
 private:
     auto scheduleTick() -> void;
+    auto recordLoopDelay(Duration delay) -> void;
 
     Host& host;
     boost::asio::steady_timer timer;
+    LogLimiter logLimiter;
     std::shared_ptr<PeerServer> configServer;
 };
 
--- a/src/citronloft/fleet/discovery.cpp
+++ b/src/citronloft/fleet/discovery.cpp
@@ -202,8 +202,13 @@
     const auto now = this->clock.now();
     std::erase_if(this->departed, [&](const auto& item) { return now >= item.second.forgetAt; });
     for (auto& [name, known] : this->entries) {
-        if (known.entry && !objects.contains(name))
-            this->departed.insert_or_assign(name, DepartedTarget { std::move(known), now + maxCopyAge });
+        if (!known.entry || objects.contains(name))
+            continue;
+        LogEvent(LogLevel::Info, "target-gone")
+            .with("target", known.entry->live.key())
+            .with("draining", known.entry->live.target.draining ? 1 : 0)
+            .with("known_revision", formatRevision(known.revision));
+        this->departed.insert_or_assign(name, DepartedTarget { std::move(known), now + maxCopyAge });
     }
 }
 
@@ -249,6 +254,7 @@
         .with("pool", entry->pool)
         .with("draining", entry->live.target.draining ? 1 : 0)
         .with("cold_ms", entry->coldFor.count())
+        .with("sequence", entry->sequence)
         .with("revision", formatRevision(object.revision));
     return *std::move(entry);
 }
