A limit that a target states while its entry is away holds when the entry returns

Callers saw: a target got more requests than it had announced to take, after its entry had been away for a moment: the answer that named the limit came to a request under way and was dropped, and the other hosts were not told.

The pool now records it beside the limits that it retains for absent targets, reports it to the other hosts and merges what they report.

No message changes.

--- a/include/citronloft/policy/target_pool.hpp
+++ b/include/citronloft/policy/target_pool.hpp
@@ -273,6 +273,8 @@
     struct DepartedLimit {
         AnnouncedLimit limit;
         TimePoint expiresAt;
+        /// Whether this host has an observation of the limit that it has not sent to the other hosts.
+        bool hasObservation = false;
     };
 
     struct Scored {
@@ -286,6 +288,9 @@
     auto chooseLessLoadedOfTwo(const TargetRequirements& requirements, TimePoint now) -> Member*;
     auto chooseByObject(const TargetRequirements& requirements, std::uint64_t object, TimePoint now) -> Member*;
     auto startRequest(Member& member, TimePoint now) -> std::string;
+    [[nodiscard]] static auto hashOf(const std::string& key) -> std::uint64_t;
+    auto recordDepartedLimit(const std::string& key, std::optional<double> perSecond, TimePoint sentAt, TimePoint now)
+        -> LimitChange;
     auto retainLimits(TimePoint now) -> void;
     auto restoreLimit(Member& member) -> void;
     auto applyLimitChange(Member& member, LimitChange change, TimePoint now) -> void;
@@ -321,8 +326,8 @@
     std::vector<Scored> scored;
     ColdRateShare coldRateShare;
     LimitShare limitShare;
-    /// By key of the target.
-    std::unordered_map<std::string, DepartedLimit> departedLimits;
+    /// By hash of the target's key.
+    std::unordered_map<std::uint64_t, DepartedLimit> departedLimits;
     std::vector<std::string> unreportedLimits;
     double hostFraction = 1;
     Duration meanLatency = std::chrono::milliseconds { 5 };
--- a/src/citronloft/policy/target_pool.cpp
+++ b/src/citronloft/policy/target_pool.cpp
@@ -71,7 +71,7 @@
         if (!member.health) {
             member.health = makeTargetHealth();
             member.key = key;
-            member.hash = XXH3_64bits(key.data(), key.size());
+            member.hash = hashOf(key);
             member.rampStartedAt = now;
             this->restoreLimit(member);
             member.statements = this->statementRegistry->statementsOf(key);
@@ -323,6 +323,8 @@
     return list;
 }
 
+auto TargetPool::hashOf(const std::string& key) -> std::uint64_t { return XXH3_64bits(key.data(), key.size()); }
+
 auto TargetPool::find(const std::string& key) -> Member*
 {
     const auto found = this->indexByKey.find(key);
--- a/src/citronloft/policy/target_pool_limits.cpp
+++ b/src/citronloft/policy/target_pool_limits.cpp
@@ -23,7 +23,7 @@
 {
     auto* member = this->find(key);
     if (member == nullptr)
-        return LimitChange::None;
+        return this->recordDepartedLimit(key, perSecond, sentAt, now);
     auto& limit = member->announcedLimit;
     const auto change = limit.record(perSecond, sentAt, now);
     this->applyLimitChange(*member, change, now);
@@ -33,14 +33,29 @@
     return change;
 }
 
+/// Records the limit that a target states while its entry is away, in answers to requests that were under way.
+auto TargetPool::recordDepartedLimit(
+    const std::string& key, std::optional<double> perSecond, TimePoint sentAt, TimePoint now) -> LimitChange
+{
+    auto& departed = this->departedLimits[hashOf(key)];
+    departed.expiresAt = now + limitRetention;
+    const auto change = departed.limit.record(perSecond, sentAt, now);
+    departed.hasObservation = departed.hasObservation || perSecond || departed.limit.isEndReported(now);
+    return change;
+}
+
 auto TargetPool::mergeLimits(const std::vector<LimitObservation>& observations, TimePoint now)
     -> std::vector<LimitUpdate>
 {
     auto updates = std::vector<LimitUpdate> {};
     for (const auto& observation : observations) {
         const auto found = this->indexByHash.find(static_cast<std::uint32_t>(observation.target));
-        if (found == this->indexByHash.end() || this->members[found->second].hash != observation.target)
+        if (found == this->indexByHash.end() || this->members[found->second].hash != observation.target) {
+            const auto departed = this->departedLimits.find(observation.target);
+            if (departed != this->departedLimits.end())
+                departed->second.limit.merge(observation);
             continue;
+        }
         auto& member = this->members[found->second];
         const auto change = member.announcedLimit.merge(observation);
         this->applyLimitChange(member, change, now);
@@ -61,6 +76,10 @@
         const auto& limit = member->announcedLimit;
         observations.push_back({ member->hash, limit.perSecond(), limit.observedAt() });
     }
+    for (auto& [hash, departed] : this->departedLimits) {
+        if (std::exchange(departed.hasObservation, false))
+            observations.push_back({ hash, departed.limit.perSecond(), departed.limit.observedAt() });
+    }
     return observations;
 }
 
@@ -84,16 +103,19 @@
     std::erase_if(this->departedLimits, [&](const auto& item) { return now >= item.second.expiresAt; });
     for (const auto& member : this->members) {
         if (member.health && member.announcedLimit.perSecond())
-            this->departedLimits[member.key] = { member.announcedLimit, now + limitRetention };
+            this->departedLimits[member.hash] = { member.announcedLimit, now + limitRetention };
     }
 }
 
 auto TargetPool::restoreLimit(Member& member) -> void
 {
-    const auto departed = this->departedLimits.find(member.key);
+    const auto departed = this->departedLimits.find(member.hash);
     if (departed == this->departedLimits.end())
         return;
     member.announcedLimit = departed->second.limit;
+    member.hasLimitObservation = departed->second.hasObservation;
+    if (member.hasLimitObservation)
+        this->unreportedLimits.push_back(member.key);
     this->departedLimits.erase(departed);
 }
 
--- a/src/citronloft/policy/target_pool_limits_test.cpp
+++ b/src/citronloft/policy/target_pool_limits_test.cpp
@@ -123,5 +123,23 @@
     EXPECT_EQ(this->pool.announcedLimit(this->limited), std::nullopt);
 }
 
+/// Answers to requests that are under way arrive while the target's entry is away.
+TEST_F(TargetPoolLimitsTest, LimitStatedWithoutAnEntryIsSharedAndInForceWhenTheEntryReturns)
+{
+    auto other = TargetPool { discoveredPoolOption(), 43 };
+    other.setLiveTargets(targets(), this->now);
+    this->pool.setLiveTargets({}, this->now);
+    this->now += 1s;
+    EXPECT_EQ(this->pool.recordRateLimit(this->limited, 4, this->now, this->now), LimitChange::Announced);
+    EXPECT_EQ(other.mergeLimits(this->pool.takeLimitObservations(), this->now).size(), 1U);
+    EXPECT_TRUE(this->pool.takeLimitObservations().empty());
+    EXPECT_EQ(other.announcedLimit(this->limited), 4);
+    other.recordRateLimit(this->limited, 8, this->now, this->now + 1s);
+    this->pool.mergeLimits(other.takeLimitObservations(), this->now + 1s);
+    this->now += 30s;
+    this->pool.setLiveTargets(targets(), this->now);
+    EXPECT_EQ(this->pool.announcedLimit(this->limited), 8);
+}
+
 } // namespace
 } // namespace citronloft
