A request is not sent to a target that left after it was chosen

Callers saw: a request reaches a target that says draining, or whose entry is gone, because it was chosen before that: a connection is opened first (up to 400 ms), and on a host with more work than its processor bears each step until the write waits for a turn of the event loop. The last look before the write asked for the caller, the deadline, the key and the quarantine, not for the target.

The client now asks right before the write whether the server is withdrawn (entry gone, draining, leaving, asking for a pause, zone evacuated; ejections after failures do not count). Then nothing is sent, the connection stays usable, and the request chooses another target without a retry being counted.

Class: a decision that is not looked at again before it takes effect. The same look exists for callers and deadlines since.

No message changes. Not claimed as the cause of the report: within the bounds of a host that keeps up, 0.4 s more do not add up to 4 s.

--- a/include/citronloft/edge/http_client.hpp
+++ b/include/citronloft/edge/http_client.hpp
@@ -26,6 +26,8 @@
     ConnectTimeout,
     /// The deadline passed before the request could be sent; no byte was sent.
     TooLate,
+    /// The server was withdrawn before the request could be sent; no byte was sent.
+    Withdrawn,
     /// The deadline passed after the request was sent.
     AnswerTimeout,
     /// The connection was closed before the response began.
@@ -103,6 +105,8 @@
     /// Decides whether the server can have sent a response for this request; others end the exchange with
     /// AnswerInvalid. Empty accepts all.
     std::function<bool(const HttpResponse&)> isValid {};
+    /// Asks, right before the request is sent, whether the server must not get it any more; empty never withdraws it.
+    std::function<bool()> isWithdrawn {};
     /// Maximum number of open connections to the address, idle ones included; at the limit an idle one is closed first.
     std::size_t connectionLimit = 1000;
 };
--- a/include/citronloft/policy/target_pool.hpp
+++ b/include/citronloft/policy/target_pool.hpp
@@ -209,6 +209,10 @@
     /// @return target with the given key, or null if it is no longer in the pool.
     [[nodiscard]] auto target(const std::string& key) const -> const LiveTarget*;
 
+    /// @return whether a target that was chosen must not be sent the request any more: its entry is gone, it is
+    /// leaving, has asked for a pause, or its zone is evacuated.
+    [[nodiscard]] auto isWithdrawn(const std::string& key, TimePoint now) const -> bool;
+
     /// @return whether any target can accept a request, now or when others end.
     [[nodiscard]] auto hasUsableTarget(TimePoint now) const -> bool;
 
@@ -309,7 +313,9 @@
     [[nodiscard]] auto isEjectionOver(const Member& member, TimePoint now) const -> bool;
     [[nodiscard]] auto canEject(TimePoint now) const -> bool;
     [[nodiscard]] auto acceptsRequests(const Member& member, TimePoint now) const -> bool;
+    [[nodiscard]] static auto isRemoved(const Member& member) -> bool;
     [[nodiscard]] auto isExcluded(const Member& member, TimePoint now) const -> bool;
+    [[nodiscard]] auto hasStatedRefusal(const Member& member, TimePoint now) const -> bool;
     [[nodiscard]] auto isLastResort(const Member& member, TimePoint now) const -> bool;
     [[nodiscard]] auto limitOf(const Member& member, TimePoint now) const -> std::uint32_t;
     [[nodiscard]] auto loadOf(const Member& member, TimePoint now) const -> double;
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -37,6 +37,8 @@
         return ResultCode::ConnectFailed;
     case ExchangeError::TooLate:
         return ResultCode::DeadlineTooShort;
+    case ExchangeError::Withdrawn:
+        return ResultCode::NoTarget;
     case ExchangeError::AnswerTimeout:
         return ResultCode::TargetTimeout;
     case ExchangeError::ConnectionLost:
@@ -334,6 +336,11 @@
         result.sent = progress.sent;
         if (result.code == ResultCode::Answered || result.code == ResultCode::CallerGone)
             return result;
+        // The target left before the request was sent, so that choosing another one is no retry.
+        if (result.code == ResultCode::NoTarget) {
+            --attempt;
+            continue;
+        }
         // The address belongs to another server: this attempt does not count towards the route's limit.
         if (result.code == ResultCode::TargetReplaced)
             --attempt;
@@ -444,6 +451,8 @@
     const auto request = makeForwardedRequest(*this->dialect, call, live->instance, startedAt);
     if (admission.targets().announcedLimit(target))
         this->metrics.count("citronloft_limited_target_requests_total");
+    exchangeOption.isWithdrawn
+        = [this, &admission, &target] { return admission.targets().isWithdrawn(target, this->clock.now()); };
     auto exchange = Exchange {};
     try {
         exchange = this->exchangeWithTarget(target, *address, request, exchangeOption, yield);
--- a/src/citronloft/edge/gateway_path.cpp
+++ b/src/citronloft/edge/gateway_path.cpp
@@ -8,7 +8,7 @@
 {
     if (code == ResultCode::TargetShed)
         return TargetResult::Shed;
-    if (code == ResultCode::CallerGone || code == ResultCode::DeadlineTooShort)
+    if (code == ResultCode::CallerGone || code == ResultCode::DeadlineTooShort || code == ResultCode::NoTarget)
         return TargetResult::Abandoned;
     if (code == ResultCode::TargetReplaced)
         return TargetResult::Misdirected;
--- a/src/citronloft/edge/http_client.cpp
+++ b/src/citronloft/edge/http_client.cpp
@@ -251,6 +251,8 @@
         // Opening the connection, or a busy event loop, may have taken all the time that was left.
         if (this->clock.now() >= exchangeOption.deadline)
             result.error = ExchangeError::TooLate;
+        if (exchangeOption.isWithdrawn && exchangeOption.isWithdrawn())
+            result.error = ExchangeError::Withdrawn;
         if (cancel != nullptr && cancel->isCancelled())
             result.error = ExchangeError::Cancelled;
         if (result.error != ExchangeError::None)
--- a/src/citronloft/edge/http_client_test.cpp
+++ b/src/citronloft/edge/http_client_test.cpp
@@ -184,7 +184,10 @@
         const auto abandoned
             = this->client->exchange(target.address(), request, { .deadline = later, .cancel = &cancel }, yield);
         EXPECT_EQ(abandoned.error, ExchangeError::Cancelled);
-        for (const auto* exchange : { &late, &abandoned }) {
+        const auto withdrawn = this->client->exchange(
+            target.address(), request, { .deadline = later, .isWithdrawn = [] { return true; } }, yield);
+        EXPECT_EQ(withdrawn.error, ExchangeError::Withdrawn);
+        for (const auto* exchange : { &late, &abandoned, &withdrawn }) {
             EXPECT_TRUE(exchange->reused);
             EXPECT_FALSE(exchange->sent);
         }
--- a/src/citronloft/edge/target_path_monitor.cpp
+++ b/src/citronloft/edge/target_path_monitor.cpp
@@ -91,6 +91,7 @@
         this->path.recordLoss(target, now);
         break;
     case ExchangeError::TooLate:
+    case ExchangeError::Withdrawn:
     case ExchangeError::Cancelled:
         break;
     }
--- a/src/citronloft/policy/target_pool_statements.cpp
+++ b/src/citronloft/policy/target_pool_statements.cpp
@@ -28,19 +28,34 @@
 
 auto TargetPool::acceptsRequests(const Member& member, TimePoint now) const -> bool
 {
-    if (this->isExcluded(member, now) || member.statements->isPaused(now))
-        return false;
-    return !member.statements->isLeaving() || this->isLastResort(member, now);
+    return !this->isExcluded(member, now) && !this->hasStatedRefusal(member, now);
+}
+
+auto TargetPool::isWithdrawn(const std::string& key, TimePoint now) const -> bool
+{
+    const auto* member = this->find(key);
+    return member == nullptr || isRemoved(*member) || this->hasStatedRefusal(*member, now);
+}
+
+/// Returns whether a target has stated that it takes no requests.
+auto TargetPool::hasStatedRefusal(const Member& member, TimePoint now) const -> bool
+{
+    if (member.statements->isPaused(now))
+        return true;
+    return member.statements->isLeaving() && !this->isLastResort(member, now);
+}
+
+/// Returns whether a target is out of use for good, or until the store says otherwise.
+auto TargetPool::isRemoved(const Member& member) -> bool
+{
+    return member.live.evacuated || member.isMisdirected || member.health->state() == TargetState::Draining;
 }
 
 /// Returns whether a target is not to be used for reasons other than its own statements.
 auto TargetPool::isExcluded(const Member& member, TimePoint now) const -> bool
 {
-    if (member.live.evacuated || member.isMisdirected)
-        return true;
-    const auto state = member.health->state();
-    const auto isEjected = state == TargetState::Ejected && !this->isEjectionOver(member, now);
-    return isEjected || state == TargetState::Draining;
+    const auto isEjected = member.health->state() == TargetState::Ejected && !this->isEjectionOver(member, now);
+    return isEjected || isRemoved(member);
 }
 
 /// Returns whether a target that is leaving has to be used since no other target of its region can be.
--- a/tests/fakes/cut_http_client.hpp
+++ b/tests/fakes/cut_http_client.hpp
@@ -40,6 +40,8 @@
         boost::asio::yield_context yield) -> Exchange override
     {
         ++this->exchangeCounts[address];
+        if (const auto delay = this->startDelays.find(address); delay != this->startDelays.end())
+            this->waitUntil(this->clock.now() + delay->second, yield);
         const auto hasConnection = this->client->openConnections(address) > 0;
         const auto isCut = this->cut != ConnectionCut::None && this->cutAddresses.contains(address);
         if (!isCut || (this->cut == ConnectionCut::RefuseNew && hasConnection)) {
@@ -80,6 +82,8 @@
     int cutExchanges = 0;
     /// Exchanges by address, including those that failed.
     std::map<Address, int> exchangeCounts;
+    /// Time that passes before a request to an address is sent, as when opening its connection takes long.
+    std::map<Address, Duration> startDelays;
 
 private:
     /// Timeouts of connections to targets: without an acknowledgement, and until they are established.
