The answer of an abandoned watch counts when it arrives

Callers saw: on a host with more work than its processor bears, targets that had left stayed in use for up to half a second longer: a watch that has not returned an announced change within 400 ms is abandoned, and its answer, which waited in the socket behind the host's other work, was thrown away when it was read. Only its successor's was used, one round trip and one turn of the queue later.

An answer that is older than the copy is ignored, so that a watch's successor that was answered earlier does not bring objects back, and so is one that arrives during a list.

--- a/include/citronloft/fleet/object_mirror.hpp
+++ b/include/citronloft/fleet/object_mirror.hpp
@@ -149,6 +149,8 @@
     auto finishWatch(std::uint64_t number, absl::StatusOr<ObjectBatch> batch) -> void;
     auto processList(absl::StatusOr<ObjectBatch> batch) -> void;
     auto processEvents(absl::StatusOr<ObjectBatch> batch) -> void;
+    auto processLateEvents(ObjectBatch batch) -> void;
+    auto applyEvents(ObjectBatch batch, TimePoint now) -> bool;
     auto finishList() -> void;
     auto removeOrRetain(const std::vector<std::string>& names, bool isRestored, TimePoint now) -> bool;
     [[nodiscard]] auto retentionEnd(std::size_t count, bool isRestored, TimePoint now) const
--- a/src/citronloft/fleet/object_mirror.cpp
+++ b/src/citronloft/fleet/object_mirror.cpp
@@ -87,9 +87,13 @@
         this->processEvents(std::move(batch));
         return;
     }
+    if (batch.ok()) {
+        this->processLateEvents(*std::move(batch));
+        return;
+    }
     // The failure of an abandoned watch is the first sign that the store is unavailable if its successor is pending.
     // OutOfRange is an answer of the store.
-    const auto hasFailed = !batch.ok() && !absl::IsOutOfRange(batch.status());
+    const auto hasFailed = !absl::IsOutOfRange(batch.status());
     if (hasFailed && number + 1 == this->callNumber && this->isCallPending)
         this->recordFailure(batch.status());
 }
@@ -240,16 +244,40 @@
     // The announced revision may be higher than that of the change itself.
     if (this->callStartedAt >= this->expectedAt && this->expectedRevision.era <= batch->revision.era)
         this->reachedRevision = this->expectedRevision;
+    const auto hasEvents = !batch->objects.empty();
+    const auto isRelayed = batch->isRelayed;
+    const auto hasChanged = this->applyEvents(*std::move(batch), now);
+    this->updatePause(hasEvents, now);
+    this->nextCallAt = now + (isRelayed ? Duration {} : this->nextPause);
+    if (hasChanged)
+        this->onChanged(this->mirrored);
+}
+
+/// Processes the answer of a watch that was abandoned. The state of the pending call does not change.
+auto ObjectMirror::processLateEvents(ObjectBatch batch) -> void
+{
+    if (this->needsList || batch.revision.era != this->revision.era)
+        return;
+    if (this->applyEvents(std::move(batch), this->clock.now()))
+        this->onChanged(this->mirrored);
+}
+
+/// Applies the events of an answer, unless the copy is later.
+/// @return whether the copy has changed.
+auto ObjectMirror::applyEvents(ObjectBatch batch, TimePoint now) -> bool
+{
+    if (batch.revision < this->revision)
+        return false;
     auto hasChanged = false;
     auto deleted = std::vector<std::string> {};
-    for (auto& object : batch->objects) {
+    for (auto& object : batch.objects) {
         // An event of a deletion may state the revision of the object before it.
-        const auto changedAt = object.isDeleted ? batch->revision : object.revision;
+        const auto changedAt = object.isDeleted ? batch.revision : object.revision;
         this->lastChangeRevision = std::max(this->lastChangeRevision, changedAt);
         const auto old = this->mirrored.find(object.name);
         if (old != this->mirrored.end() && object.revision < old->second.revision)
             continue;
-        this->recordChange(object.name, object.isDeleted, batch->revision);
+        this->recordChange(object.name, object.isDeleted, batch.revision);
         if (object.isDeleted) {
             deleted.push_back(object.name);
             continue;
@@ -260,11 +288,8 @@
         hasChanged = true;
     }
     hasChanged = this->removeOrRetain(deleted, false, now) || hasChanged;
-    this->revision = std::max(this->revision, batch->revision);
-    this->updatePause(!batch->objects.empty(), now);
-    this->nextCallAt = now + (batch->isRelayed ? Duration {} : this->nextPause);
-    if (hasChanged)
-        this->onChanged(this->mirrored);
+    this->revision = std::max(this->revision, batch.revision);
+    return hasChanged;
 }
 
 auto ObjectMirror::recordChange(const std::string& name, bool isDeleted, const StoreRevision& learnedAtRevision) -> void
--- a/src/citronloft/fleet/object_mirror_test.cpp
+++ b/src/citronloft/fleet/object_mirror_test.cpp
@@ -209,6 +209,38 @@
     EXPECT_FALSE(this->feed->calls.back().isWatch);
 }
 
+/// Guards against a busy host that abandons a watch whose answer it has not read yet, and learns of a change a call
+/// later.
+TEST_F(ObjectMirrorTest, EventsInLateAnswerOfAbandonedWatchAreApplied)
+{
+    this->startWithList({ { "a", at(1), "", false }, { "c", at(2), "", false } }, 3);
+    this->mirror->expectRevision(at(7), this->clock.now());
+    this->tickFor(500ms);
+    ASSERT_EQ(this->feed->calls.size(), 2U);
+    const auto abandoned = this->feed->calls.front();
+    const auto before = this->changes;
+    abandoned.done(ObjectBatch { { { "b", at(6), "", false }, { "c", at(2), "", true } }, false, at(7) });
+    EXPECT_EQ(this->changes, before + 1);
+    EXPECT_THAT(this->names(), ElementsAre("a", "b"));
+    // Its successor was answered earlier and says less.
+    this->feed->answer(ObjectBatch { { { "c", at(4), "", false } }, false, at(5) });
+    EXPECT_THAT(this->names(), ElementsAre("a", "b"));
+    this->tickFor(500ms);
+    EXPECT_EQ(this->feed->calls.back().revision, at(7));
+}
+
+/// A list that is under way replaces the copy, so that events from before it do not count.
+TEST_F(ObjectMirrorTest, LateAnswerOfAbandonedWatchIsIgnoredDuringAList)
+{
+    this->startWithList({ { "a", at(1), "", false } }, 3);
+    const auto abandoned = this->feed->calls.back();
+    this->tickFor(abandoned.wait + 500ms);
+    ASSERT_EQ(this->feed->calls.size(), 2U);
+    this->feed->answer(absl::OutOfRangeError("history is gone"));
+    abandoned.done(ObjectBatch { { { "b", at(6), "", false } }, false, at(7) });
+    EXPECT_THAT(this->names(), ElementsAre("a"));
+}
+
 /// Guards against a new reader whose own watch is lost: it stays in the dark for as long as it did before.
 TEST_F(ObjectMirrorTest, ShorterWaitAppliesToPendingWatch)
 {
