What bodies of messages take together is bounded by the host's memory

Other operators saw: a faulty target sent bytes that were no answer, without end; the host that had called it kept them all, ran out of memory, and the requests of other callers ended with it.

Cause: the limit of 8 MiB was one for each answer, and nothing bounded all of them together; what the head shows to be no answer was read all the same; three copies of a request's body were held, 64 MiB of each answer of the store, and a peer's frame by its stated length.

The first 16 KiB of each are not counted, so that other callers are served beside. An answer without room fails (3009), a request is refused as not run (2025, 503 with Retry-After) before its body is read. The head decides whether bytes are an answer. A request's body is lent to the forwarded request and written from there: one copy. Frames are allocated as they arrive, 32 MiB at most.

--- a/include/citronloft/base/host_settings.hpp
+++ b/include/citronloft/base/host_settings.hpp
@@ -33,6 +33,8 @@
     std::map<std::string, std::string> regionOfZone;
     /// Time for which callers may cache the answer to a look-up, for adapters whose configuration does not define it.
     std::chrono::milliseconds lookupTtl { 3000 };
+    /// Memory that the host may use, in megabytes; 0 does not bound the bodies of messages.
+    double memoryMb = 0;
     /// Maximum duration of a planned stop.
     std::chrono::milliseconds maxStopDuration { 60'000 };
     /// Limit on retries, summed over all hosts: a fraction of the first attempts, plus a number of further retries
--- a/include/citronloft/base/result_code.hpp
+++ b/include/citronloft/base/result_code.hpp
@@ -49,6 +49,7 @@
     PeerUnauthenticated = 2022,
     TargetReplaced = 2023,
     RequestQuarantined = 2024,
+    MemoryFull = 2025,
 
     AnswerCut = 3001,
     TargetTimeout = 3002,
@@ -58,6 +59,7 @@
     CallerGone = 3006,
     PeerLost = 3007,
     InternalError = 3008,
+    AnswerNotHeld = 3009,
 };
 
 /// @brief One row of the result table.
--- a/include/citronloft/edge/call.hpp
+++ b/include/citronloft/edge/call.hpp
@@ -70,11 +70,22 @@
     unsigned sent = 0;
 };
 
-/// @brief Builds the request that is sent to a target or another host.
-/// @return a copy of the request without key, the project's own fields and hop-by-hop fields, with team and remaining
-/// time.
-auto makeForwardedRequest(const Dialect& dialect, const Call& call, const std::string& instance, TimePoint now)
-    -> HttpRequest;
+/// @brief A call's request in the form that is sent to a target or another host: without key, the project's own fields
+/// and hop-by-hop fields, with team and remaining time.
+///
+/// It takes the body of the call's request, which may be large, and returns it when it is destroyed.
+class ForwardedRequest {
+public:
+    ForwardedRequest(const Dialect& dialect, Call& call, const std::string& instance, TimePoint now);
+    ~ForwardedRequest() { this->original.body = std::move(this->request.body); }
+    ForwardedRequest(const ForwardedRequest&) = delete;
+    auto operator=(const ForwardedRequest&) -> ForwardedRequest& = delete;
+
+    HttpRequest request;
+
+private:
+    HttpRequest& original;
+};
 
 /// @return a number that requests with the same method, host, path, query, body and team share on all hosts; never 0.
 auto computeRequestIdentity(const Call& call) -> std::uint64_t;
--- a/include/citronloft/edge/http_client.hpp
+++ b/include/citronloft/edge/http_client.hpp
@@ -13,6 +13,7 @@
 
 #include "citronloft/base/address.hpp"
 #include "citronloft/base/clock.hpp"
+#include "citronloft/edge/body_memory.hpp"
 #include "citronloft/edge/http_message.hpp"
 
 namespace citronloft {
@@ -35,6 +36,8 @@
     /// The connection was closed before the response was complete.
     AnswerCut,
     AnswerTooLarge,
+    /// This host has no memory for the response.
+    NoMemory,
     /// The response is none that the server can have sent for the request.
     AnswerInvalid,
     /// The exchange was cancelled through its ExchangeCancel.
@@ -114,6 +117,8 @@
 /// @brief Limits and timeouts of an HTTP client.
 struct HttpClientOption {
     std::uint64_t bodyLimitBytes = 8 * 1024 * 1024;
+    /// Memory for the bodies of all responses together; null does not bound it.
+    std::shared_ptr<BodyMemory> bodyMemory {};
     std::size_t maxIdlePerAddress = 64;
     /// Maximum age of a connection that is reused.
     std::chrono::seconds maxConnectionAge { 120 };
--- a/include/citronloft/edge/http_message.hpp
+++ b/include/citronloft/edge/http_message.hpp
@@ -2,12 +2,15 @@
 /// @brief HTTP messages as plain structures, so that most sources do not include the HTTP library's headers.
 #pragma once
 
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace citronloft {
 
+class BodyReservation;
+
 /// @brief One header field.
 struct HeaderField {
     std::string name;
@@ -46,6 +49,8 @@
     std::string target;
     HeaderFields fields;
     std::string body;
+    /// Memory that the body takes; null if it is not bounded.
+    std::shared_ptr<BodyReservation> reservation {};
 };
 
 /// @brief A complete response.
@@ -55,6 +60,8 @@
     std::string body;
     /// Whether the connection is closed after this response.
     bool close = false;
+    /// Memory that the body takes; null if it is not bounded.
+    std::shared_ptr<BodyReservation> reservation {};
 };
 
 /// @return whether two field names are equal, ignoring case.
--- a/include/citronloft/edge/http_server.hpp
+++ b/include/citronloft/edge/http_server.hpp
@@ -14,6 +14,7 @@
 #include "citronloft/base/address.hpp"
 #include "citronloft/base/config.hpp"
 #include "citronloft/base/result_code.hpp"
+#include "citronloft/edge/body_memory.hpp"
 #include "citronloft/edge/http_message.hpp"
 
 namespace citronloft {
@@ -63,6 +64,8 @@
 struct HttpServerOption {
     std::uint32_t headerLimitBytes = 16 * 1024;
     std::uint64_t bodyLimitBytes = 1024 * 1024;
+    /// Memory for the bodies of all requests together; null does not bound it.
+    std::shared_ptr<BodyMemory> bodyMemory {};
     std::chrono::milliseconds idleTimeout { 60'000 };
     /// Maximum time from the first to the last byte of a request.
     std::chrono::milliseconds requestTimeout { 10'000 };
--- a/include/citronloft/edge/platform.hpp
+++ b/include/citronloft/edge/platform.hpp
@@ -16,6 +16,8 @@
 /// @brief Settings of a platform adapter.
 struct PlatformOption {
     Address address;
+    /// Memory of the host, which bounds that for the platform's answers; 0 does not bound it.
+    std::size_t memoryBytes = 0;
     /// Region of each zone, by zone name.
     std::map<std::string, std::string> regionOfZone;
     /// Time for which callers may cache a lookup response.
--- a/programs/citronloftd/components.cpp
+++ b/programs/citronloftd/components.cpp
@@ -75,6 +75,7 @@
 auto ServiceComponent::start() -> absl::Status
 {
     auto option = HttpServerOption {};
+    option.bodyMemory = this->host.bodyMemory;
     option.onRefusal = [this](ResultCode code) {
         const auto label = "code=\"" + std::string { resultInfo(code).name } + "\"";
         this->host.metrics.count("citronloft_results_total", label);
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -30,6 +30,10 @@
 constexpr auto usesZoneReaders = false;
 /// Interval at which a zone's reader repeats what it has announced, since notices can be lost.
 constexpr auto changeNoticeInterval = std::chrono::milliseconds { 1000 };
+/// Fraction of the host's memory that bodies of requests and answers may take. The rest is needed by the host itself,
+/// for received bytes that are not read yet, and twice for a body while its buffer grows.
+constexpr auto bodyMemoryFraction = 0.4;
+constexpr auto bytesPerMegabyte = 1e6;
 constexpr auto exitClean = 0;
 constexpr auto exitFailed = 1;
 constexpr auto exitNotDrained = 3;
@@ -41,6 +45,15 @@
     return name == "zone" ? LendingStrategy::Zone : LendingStrategy::Fleet;
 }
 
+/// @return null if the settings do not state the host's memory.
+auto makeBodyMemory(const HostSettings& settings) -> std::shared_ptr<BodyMemory>
+{
+    if (settings.memoryMb <= 0)
+        return nullptr;
+    return std::make_shared<BodyMemory>(
+        static_cast<std::size_t>(settings.memoryMb * bytesPerMegabyte * bodyMemoryFraction));
+}
+
 auto makeHostEntry(const HostSettings& settings, std::uint64_t incarnation) -> HostEntry
 {
     auto entry = HostEntry {};
@@ -61,6 +74,7 @@
     , onStopped(std::move(onStopped))
     , incarnation(randomId() | 1U)
     , lifecycle(makeHostLifecycle())
+    , bodyMemory(makeBodyMemory(this->settings))
 {
 }
 
@@ -91,6 +105,7 @@
     if (this->usesAdapter()) {
         auto option = PlatformOption {};
         option.address = this->settings.platform;
+        option.memoryBytes = static_cast<std::size_t>(this->settings.memoryMb * bytesPerMegabyte);
         option.regionOfZone = this->settings.regionOfZone;
         option.lookupTtl = this->settings.lookupTtl;
         option.shiftPercentPerMinute
@@ -126,6 +141,7 @@
     option.zone = this->settings.zone;
     option.fleetSecret = this->settings.fleetSecret;
     option.httpClient = this->httpClient;
+    option.client.bodyMemory = this->bodyMemory;
     option.queue = this->settings.queue == "fifo" ? QueueStrategy::Fifo : QueueStrategy::Fair;
     if (!this->usesAdapter())
         return option;
--- a/programs/citronloftd/host.hpp
+++ b/programs/citronloftd/host.hpp
@@ -76,6 +76,8 @@
     Metrics metrics;
     std::uint64_t incarnation;
     std::unique_ptr<HostLifecycle> lifecycle;
+    /// Bound on the bodies of all requests and answers; null if the settings state none.
+    std::shared_ptr<BodyMemory> bodyMemory;
     Platform platform;
     std::shared_ptr<ZoneFeed> zoneFeed;
     std::unique_ptr<Discovery> discovery;
--- a/src/citronloft/base/host_settings.cpp
+++ b/src/citronloft/base/host_settings.cpp
@@ -144,6 +144,7 @@
     readZones(reader, settings.regionOfZone);
     readSeconds(reader, "lookup_ttl_s", settings.lookupTtl);
     readSeconds(reader, "stop_time_s", settings.maxStopDuration);
+    readNonNegative(reader, "memory_mb", settings.memoryMb, 1e6);
     readNonNegative(reader, "retry_ratio", settings.retryRatio, 10);
     readNonNegative(reader, "retry_slack", settings.retrySlack, 1e6);
     readNonNegative(reader, "rate_overage", settings.rateOverage, 10);
--- a/src/citronloft/base/result_code.cpp
+++ b/src/citronloft/base/result_code.cpp
@@ -38,6 +38,7 @@
     { PeerUnauthenticated, "peer-unauthenticated", 403, NotRun, "The forwarded request is not signed by a host." },
     { TargetReplaced, "target-replaced", 503, NotRun, "Another server has the address of the target that was chosen." },
     { RequestQuarantined, "request-quarantined", 400, NotRun, "The request has crashed the targets that ran it." },
+    { MemoryFull, "memory-full", 503, NotRun, "This host has no memory for the request's body now." },
     { AnswerCut, "answer-cut", 502, Unknown, "The target's answer ended before it was whole, or was no answer." },
     { TargetTimeout, "target-timeout", 504, Unknown, "The target did not answer before the deadline." },
     { ConnectionLost, "connection-lost", 502, Unknown, "The connection was lost after the request was sent." },
@@ -47,6 +48,7 @@
     { CallerGone, "caller-gone", 499, Unknown, "The caller closed its connection before the answer." },
     { PeerLost, "peer-lost", 502, Unknown, "The connection to the forwarding host was lost." },
     { InternalError, "internal-error", 500, Unknown, "The host failed while it handled the request." },
+    { AnswerNotHeld, "answer-not-held", 502, Ran, "This host had no memory for the target's answer." },
 });
 
 } // namespace
--- a/src/citronloft/edge/call.cpp
+++ b/src/citronloft/edge/call.cpp
@@ -4,21 +4,23 @@
 #include <charconv>
 #include <cmath>
 #include <cstring>
+#include <utility>
 
 #include "citronloft/base/digest.hpp"
 
 namespace citronloft {
 
-auto makeForwardedRequest(const Dialect& dialect, const Call& call, const std::string& instance, TimePoint now)
-    -> HttpRequest
+ForwardedRequest::ForwardedRequest(const Dialect& dialect, Call& call, const std::string& instance, TimePoint now)
+    : original(*call.request)
 {
     auto fields = ForwardedFields {};
     fields.team = call.team == nullptr ? std::string {} : call.team->name;
     fields.remainingTime = std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - now);
     fields.instance = instance;
-    auto request = dialect.makeTargetRequest(*call.request, fields);
-    request.fields.remove(spillHeader);
-    return request;
+    auto body = std::exchange(this->original.body, {});
+    this->request = dialect.makeTargetRequest(this->original, fields);
+    this->request.fields.remove(spillHeader);
+    this->request.body = std::move(body);
 }
 
 /// The digest is cryptographic, so that a caller cannot prepare a request that is taken for another one.
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -48,6 +48,8 @@
         return ResultCode::AnswerCut;
     case ExchangeError::AnswerTooLarge:
         return ResultCode::AnswerTooLarge;
+    case ExchangeError::NoMemory:
+        return ResultCode::AnswerNotHeld;
     case ExchangeError::Cancelled:
         return ResultCode::CallerGone;
     }
@@ -448,14 +450,14 @@
     }
     call.caller->onDisconnect([&cancel] { cancel.cancel(); });
     const auto address = parseAddress(live->target.address);
-    const auto request = makeForwardedRequest(*this->dialect, call, live->instance, startedAt);
     if (admission.targets().announcedLimit(target))
         this->metrics.count("citronloft_limited_target_requests_total");
     exchangeOption.isWithdrawn
         = [this, &admission, &target] { return admission.targets().isWithdrawn(target, this->clock.now()); };
     auto exchange = Exchange {};
     try {
-        exchange = this->exchangeWithTarget(target, *address, request, exchangeOption, yield);
+        const auto forwarded = ForwardedRequest(*this->dialect, call, live->instance, startedAt);
+        exchange = this->exchangeWithTarget(target, *address, forwarded.request, exchangeOption, yield);
     } catch (const std::exception&) {
         // The slot is released here; the server answers the request.
         call.caller->onDisconnect(nullptr);
--- a/src/citronloft/edge/gateway_path.cpp
+++ b/src/citronloft/edge/gateway_path.cpp
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <array>
+
 #include "citronloft/edge/gateway.hpp"
 
 namespace citronloft {
@@ -8,7 +11,9 @@
 {
     if (code == ResultCode::TargetShed)
         return TargetResult::Shed;
-    if (code == ResultCode::CallerGone || code == ResultCode::DeadlineTooShort || code == ResultCode::NoTarget)
+    constexpr auto abandoned = std::to_array(
+        { ResultCode::CallerGone, ResultCode::DeadlineTooShort, ResultCode::NoTarget, ResultCode::AnswerNotHeld });
+    if (std::ranges::find(abandoned, code) != abandoned.end())
         return TargetResult::Abandoned;
     if (code == ResultCode::TargetReplaced)
         return TargetResult::Misdirected;
--- a/src/citronloft/edge/http_client.cpp
+++ b/src/citronloft/edge/http_client.cpp
@@ -48,16 +48,19 @@
     bool identifiesErrors = false;
 };
 
-auto toBeast(const Address& address, const HttpRequest& plain) -> http::request<http::string_body>
+using OutgoingRequest = http::request<http::span_body<const char>>;
+
+/// Returns a message that refers to the body of `plain`.
+auto toBeast(const Address& address, const HttpRequest& plain) -> OutgoingRequest
 {
-    auto request = http::request<http::string_body> {};
+    auto request = OutgoingRequest {};
     request.method_string(plain.method);
     request.target(plain.target);
     for (const auto& field : plain.fields)
         request.insert(field.name, field.value);
     if (request[http::field::host].empty())
         request.set(http::field::host, formatAddress(address));
-    request.body() = plain.body;
+    request.body() = { plain.body.data(), plain.body.size() };
     if (!plain.body.empty() || plain.method == "POST" || plain.method == "PUT")
         request.content_length(plain.body.size());
     return request;
@@ -65,17 +68,14 @@
 
 using ResponseParser = http::response_parser<http::string_body>;
 
-/// Reads a response; the fields of its trailer are discarded.
-auto readPlainResponse(Connection& connection, ResponseParser& parser, HttpResponse& response,
-    asio::yield_context yield) -> beast::error_code
+/// Reads the head of a response; the fields of a trailer are not among its fields.
+auto readHead(Connection& connection, ResponseParser& parser, HttpResponse& response, asio::yield_context yield)
+    -> beast::error_code
 {
     if (const auto error = readHeader(connection.stream, connection.buffer, parser, yield))
         return error;
     response.status = parser.get().result_int();
     response.fields = copyFields(parser);
-    if (const auto error = readBody(connection.stream, connection.buffer, parser, yield))
-        return error;
-    response.body = std::move(parser.get().body());
     return {};
 }
 
@@ -244,8 +244,8 @@
     }
 
     /// @return whether the connection can be reused.
-    auto sendAndReceive(Connection& connection, http::request<http::string_body> request,
-        const ExchangeOption& exchangeOption, Exchange& result, asio::yield_context yield) -> bool
+    auto sendAndReceive(Connection& connection, OutgoingRequest request, const ExchangeOption& exchangeOption,
+        Exchange& result, asio::yield_context yield) -> bool
     {
         auto* cancel = exchangeOption.cancel;
         // Opening the connection, or a busy event loop, may have taken all the time that was left.
@@ -314,17 +314,23 @@
             parser.body_limit(this->option.bodyLimitBytes);
             parser.skip(isHead);
             auto response = HttpResponse {};
-            if (const auto error = readPlainResponse(connection, parser, response, yield)) {
+            if (const auto error = readHead(connection, parser, response, yield)) {
                 result.error = exchangeErrorOf(error, parser.got_some());
                 return false;
             }
             if (response.status / 100 == 1)
                 continue;
-            // Bytes after the response belong to no request, so the connection cannot be reused.
-            const auto isReusable = parser.get().keep_alive() && !parser.get().need_eof()
-                && connection.buffer.size() == 0 && !skippedResponse;
             const auto isFirst = !std::exchange(connection.hasAnswered, true);
             const auto relation = relationOf(response, isFirst, exchangeOption);
+            // The body of what is no response may have no end.
+            if (relation == Relation::Invalid) {
+                result.error = ExchangeError::AnswerInvalid;
+                return false;
+            }
+            if (const auto error = this->readBodyOf(connection, parser, response, relation, yield)) {
+                result.error = exchangeErrorOf(error, true);
+                return false;
+            }
             const auto hasId = response.fields.has(exchangeOption.idField);
             if (!hasId || response.status >= firstErrorStatus)
                 result.identifiesErrors = hasId;
@@ -332,10 +338,9 @@
                 skippedResponse = true;
                 continue;
             }
-            if (relation == Relation::Invalid) {
-                result.error = ExchangeError::AnswerInvalid;
-                return false;
-            }
+            // Bytes after the response belong to no request, so the connection cannot be reused.
+            const auto isReusable = parser.get().keep_alive() && !parser.get().need_eof()
+                && connection.buffer.size() == 0 && !skippedResponse;
             connection.lastResponseAt = this->clock.now();
             result.response = std::move(response);
             return isReusable && relation == Relation::Answer;
@@ -344,12 +349,27 @@
         return false;
     }
 
+    /// Reads the body of a response, or discards it if the response belongs to another request.
+    auto readBodyOf(Connection& connection, ResponseParser& parser, HttpResponse& response, Relation relation,
+        asio::yield_context yield) -> beast::error_code
+    {
+        if (relation == Relation::Other)
+            return discardBody(connection.stream, connection.buffer, parser, yield);
+        response.reservation = std::make_shared<BodyReservation>(this->option.bodyMemory);
+        if (const auto error = readBody(connection.stream, connection.buffer, parser, *response.reservation, yield))
+            return error;
+        response.body = std::move(parser.get().body());
+        return {};
+    }
+
     static auto exchangeErrorOf(const beast::error_code& error, bool gotSome) -> ExchangeError
     {
         if (error == beast::error::timeout)
             return ExchangeError::AnswerTimeout;
         if (error == http::error::body_limit)
             return ExchangeError::AnswerTooLarge;
+        if (error == asio::error::no_memory)
+            return ExchangeError::NoMemory;
         if (gotSome)
             return ExchangeError::AnswerCut;
         return ExchangeError::ConnectionLost;
--- a/src/citronloft/edge/http_read.hpp
+++ b/src/citronloft/edge/http_read.hpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include "citronloft/base/log.hpp"
+#include "citronloft/edge/body_memory.hpp"
 #include "citronloft/edge/http_message.hpp"
 
 namespace citronloft {
@@ -43,15 +44,19 @@
 /// @brief Reads until `isRead` is true of the parser.
 /// @return the error of the stream or the parser; end_of_stream if the stream ends before the message begins, and
 /// buffer_overflow if the parser needs more bytes than the buffer can hold.
-template <typename Stream, typename Parser>
+/// @param onParsed called whenever the parser has taken bytes; the read ends with no_memory if it returns false.
+template <typename Stream, typename Parser, typename OnParsed>
 auto readUntil(Stream& stream, boost::beast::flat_buffer& buffer, Parser& parser,
-    std::type_identity_t<bool (Parser::*)() const> isRead, boost::asio::yield_context yield) -> boost::beast::error_code
+    std::type_identity_t<bool (Parser::*)() const> isRead, boost::asio::yield_context yield, OnParsed onParsed)
+    -> boost::beast::error_code
 {
     constexpr auto maxReadBytes = std::size_t { 65536 };
     while (!(parser.*isRead)()) {
         auto error = parseBuffered(buffer, parser);
         if (error && error != boost::beast::http::error::need_more)
             return error;
+        if (!onParsed())
+            return boost::asio::error::no_memory;
         if (!error)
             continue;
         const auto room = boost::beast::read_size(buffer, maxReadBytes);
@@ -79,16 +84,30 @@
     -> boost::beast::error_code
 {
     parser.eager(false);
-    return readUntil(stream, buffer, parser, &Parser::is_header_done, yield);
+    return readUntil(stream, buffer, parser, &Parser::is_header_done, yield, [] { return true; });
 }
 
 /// @brief Reads the rest of a message after its header.
+/// @return no_memory if there is no room for the body.
+template <typename Stream, typename Parser>
+auto readBody(Stream& stream, boost::beast::flat_buffer& buffer, Parser& parser, BodyReservation& reservation,
+    boost::asio::yield_context yield) -> boost::beast::error_code
+{
+    parser.eager(true);
+    return readUntil(stream, buffer, parser, &Parser::is_done, yield,
+        [&] { return reservation.resize(parser.get().body().capacity()); });
+}
+
+/// @brief Reads the rest of a message after its header without keeping the body.
 template <typename Stream, typename Parser>
-auto readBody(Stream& stream, boost::beast::flat_buffer& buffer, Parser& parser, boost::asio::yield_context yield)
+auto discardBody(Stream& stream, boost::beast::flat_buffer& buffer, Parser& parser, boost::asio::yield_context yield)
     -> boost::beast::error_code
 {
     parser.eager(true);
-    return readUntil(stream, buffer, parser, &Parser::is_done, yield);
+    return readUntil(stream, buffer, parser, &Parser::is_done, yield, [&] {
+        parser.get().body().clear();
+        return true;
+    });
 }
 
 /// @return the fields that the parser has read; before the body is read, those of the header without the trailer.
--- a/src/citronloft/edge/http_session.cpp
+++ b/src/citronloft/edge/http_session.cpp
@@ -23,6 +23,8 @@
 /// Time allowed for the caller to close its side after the last response. Closing earlier could reset the connection if
 /// bytes from the caller are still in transit, and the response would be lost.
 constexpr auto lingerTimeout = std::chrono::seconds { 1 };
+/// Time in which bodies that take all memory are usually passed on.
+constexpr auto memoryRetryAfter = std::chrono::milliseconds { 1000 };
 
 auto resultCodeOf(const beast::error_code& error) -> ResultCode
 {
@@ -30,6 +32,8 @@
         return ResultCode::BodyTooLarge;
     if (error == http::error::header_limit || error == http::error::buffer_overflow)
         return ResultCode::HeaderTooLarge;
+    if (error == asio::error::no_memory)
+        return ResultCode::MemoryFull;
     return ResultCode::MalformedRequest;
 }
 
@@ -42,8 +46,11 @@
     return codings > 1 || (codings == 1 && !isChunked) || request.count(http::field::host) > 1;
 }
 
-auto isProtocolError(const beast::error_code& error) -> bool
+/// Returns whether the caller gets a response, not only a closed connection.
+auto isRefusal(const beast::error_code& error) -> bool
 {
+    if (error == asio::error::no_memory)
+        return true;
     return error.category() == http::make_error_code(http::error::bad_method).category()
         && error != http::error::end_of_stream && error != http::error::partial_message;
 }
@@ -126,7 +133,7 @@
     this->isReading = false;
     if (!error)
         return this->startHandler(std::move(request), parser.keep_alive());
-    if (isProtocolError(error)) {
+    if (isRefusal(error)) {
         this->sendRefusal(resultCodeOf(error), yield);
         return false;
     }
@@ -176,7 +183,8 @@
     request.fields = copyFields(parser);
     if (beast::iequals(message[http::field::expect], "100-continue") && this->pendingRequests.empty())
         this->writeContinue(yield);
-    if (const auto error = readBody(this->socket, this->buffer, parser, yield))
+    request.reservation = std::make_shared<BodyReservation>(option.bodyMemory);
+    if (const auto error = readBody(this->socket, this->buffer, parser, *request.reservation, yield))
         return error;
     request.body = std::move(parser.get().body());
     return {};
@@ -219,7 +227,8 @@
     auto pendingRequest = std::make_shared<PendingRequest>();
     pendingRequest->caller = std::make_shared<CallerContext>();
     pendingRequest->isLast = true;
-    pendingRequest->response = toBeast(problemResponse(code), false);
+    const auto retryAfter = code == ResultCode::MemoryFull ? memoryRetryAfter : std::chrono::milliseconds {};
+    pendingRequest->response = toBeast(problemResponse(code, retryAfter), false);
     this->pendingRequests.push_back(std::move(pendingRequest));
     this->writeReadyResponses(yield);
 }
@@ -231,6 +240,7 @@
     try {
         auto response = this->sessionContext->handler(request, *pendingRequest.caller, yield);
         pendingRequest.requestsClose = response.close;
+        pendingRequest.reservation = response.reservation;
         pendingRequest.response = toBeast(std::move(response), isHead);
     } catch (const std::exception& error) {
         LogEvent(LogLevel::Error, "handler-failed").with("reason", error.what());
--- a/src/citronloft/edge/http_session.hpp
+++ b/src/citronloft/edge/http_session.hpp
@@ -59,6 +59,8 @@
     struct PendingRequest {
         std::shared_ptr<CallerContext> caller;
         std::optional<Response> response;
+        /// Memory that the response's body takes until it is written.
+        std::shared_ptr<BodyReservation> reservation;
         bool isLast = false;
         bool requestsClose = false;
     };
--- a/src/citronloft/edge/peer_exchange.cpp
+++ b/src/citronloft/edge/peer_exchange.cpp
@@ -1,5 +1,6 @@
 #include "citronloft/edge/peer_exchange.hpp"
 
+#include <algorithm>
 #include <array>
 #include <variant>
 
@@ -25,7 +26,10 @@
 using Stream = boost::beast::tcp_stream;
 using ErrorCode = boost::system::error_code;
 
-constexpr auto maxFrameBytes = std::uint32_t { 256 * 1024 * 1024 };
+/// Several times the configuration of the largest deployment.
+constexpr auto maxFrameBytes = std::uint32_t { 32 * 1024 * 1024 };
+/// Memory for a frame is allocated as its bytes arrive, since its length is not authenticated yet.
+constexpr auto frameStepBytes = std::size_t { 256 } * 1024;
 constexpr auto maxRequestBytes = std::uint32_t { 1024 };
 constexpr auto exchangeTimeout = std::chrono::seconds { 10 };
 
@@ -77,8 +81,12 @@
     boost::endian::big_to_native_inplace(length);
     if (error || length > maxBytes)
         return absl::UnavailableError("peer sent no frame, or a frame longer than the limit");
-    auto body = std::string(length, '\0');
-    asio::async_read(stream, asio::buffer(body), yield[error]);
+    auto body = std::string {};
+    while (!error && body.size() < length) {
+        const auto known = body.size();
+        body.resize(std::min<std::size_t>(length, known + frameStepBytes));
+        asio::async_read(stream, asio::buffer(body.data() + known, body.size() - known), yield[error]);
+    }
     if (error)
         return absl::UnavailableError("connection closed before the complete frame was received");
     return body;
--- a/src/citronloft/edge/spill_router.cpp
+++ b/src/citronloft/edge/spill_router.cpp
@@ -111,17 +111,17 @@
 auto SpillRouter::forwardTo(Call& call, const HostEntry& host, SpillReason reason, unsigned attempts,
     boost::asio::yield_context yield) -> CallResult
 {
-    auto request = makeForwardedRequest(this->dialect, call, {}, this->clock.now());
+    auto forwarded = ForwardedRequest(this->dialect, call, {}, this->clock.now());
     const auto ticket
         = SpillTicket { call.team == nullptr ? "" : call.team->name, call.route->name, randomId(), reason, attempts };
-    request.fields.set(spillHeader, this->signer.sign(ticket, request));
+    forwarded.request.fields.set(spillHeader, this->signer.sign(ticket, forwarded.request));
     auto cancel = ExchangeCancel {};
     cancel.isAbandoned = [&call] { return call.caller->hasLeft(); };
     auto exchangeOption = ExchangeOption { .deadline = call.deadline, .cancel = &cancel };
     if (!call.route->idempotent || reason != SpillReason::NoCapacity)
         exchangeOption.maxIdleTime = this->option.nonIdempotentMaxIdleTime;
     call.caller->onDisconnect([&cancel] { cancel.cancel(); });
-    auto exchange = this->client->exchange(host.serviceAddress(), request, exchangeOption, yield);
+    auto exchange = this->client->exchange(host.serviceAddress(), forwarded.request, exchangeOption, yield);
     call.caller->onDisconnect(nullptr);
     if (exchange.error == ExchangeError::Cancelled)
         return { ResultCode::CallerGone, {}, {} };
--- a/src/citronloft/edge/target_path_monitor.cpp
+++ b/src/citronloft/edge/target_path_monitor.cpp
@@ -76,6 +76,7 @@
     case ExchangeError::None:
     case ExchangeError::AnswerCut:
     case ExchangeError::AnswerTooLarge:
+    case ExchangeError::NoMemory:
     case ExchangeError::AnswerInvalid:
         this->path.recordAnswer(target, startedAt, now);
         break;
--- a/tests/fakes/raw_peer.hpp
+++ b/tests/fakes/raw_peer.hpp
@@ -26,6 +26,8 @@
         bool close = false;
         /// Closes with a reset instead of an end of stream; has no effect without `close`.
         bool reset = false;
+        /// Sent again and again after `bytes`, until the peer closes the connection; empty for none.
+        std::string endless {};
     };
 
     RawServer(boost::asio::io_context& context, std::vector<Script> scripts)
@@ -43,6 +45,8 @@
     /// Number of the connection of each request.
     std::vector<std::size_t> requestConnections;
     std::size_t connections = 0;
+    /// Bytes of endless scripts that were sent over all connections.
+    std::size_t endlessBytes = 0;
     /// Number of connections that the peer has closed.
     std::size_t closed = 0;
 
@@ -80,6 +84,13 @@
             if (index >= this->scripts.size())
                 continue;
             boost::asio::async_write(socket, boost::asio::buffer(this->scripts[index].bytes), yield[error]);
+            while (!error && !this->scripts[index].endless.empty())
+                this->endlessBytes += boost::asio::async_write(
+                    socket, boost::asio::buffer(this->scripts[index].endless), yield[error]);
+            if (error) {
+                ++this->closed;
+                return;
+            }
             if (!this->scripts[index].close)
                 continue;
             if (this->scripts[index].reset)
