A host whose connections to targets open but carry nothing forwards its requests

Cause: a probe was a connection that opens, and any connection that opened took the suspicion back. Requests without an answer could never lead to a lost path. Class: evidence of one thing (a listener, perhaps not the target's) taken for another (the target answers).

Requests that time out at two targets, without an answer of any target for a second, now raise a suspicion that only answers end: rounds of four health requests to targets of several zones and pools. Slow targets answer or refuse these. If none is answered, the path is lost as before, and health requests show that it is back. After rounds that were answered there is a pause of 10 s, unless callers' requests are answered. Lost connections do not count as silence: whoever closes them is reached. Targets that have asked for a pause get none.

No message between hosts and no stored object changes.

--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -241,10 +241,10 @@
     TimePoint nextLoadPublishAt {};
     std::shared_ptr<HttpClient> client;
     TargetProber prober;
+    std::shared_ptr<TargetStatementRegistry> targetStatements = std::make_shared<TargetStatementRegistry>();
     /// Without discovery it knows no targets and takes the path as reached.
     std::shared_ptr<TargetPathMonitor> pathMonitor;
     SpillRouter spillRouter;
-    std::shared_ptr<TargetStatementRegistry> targetStatements = std::make_shared<TargetStatementRegistry>();
     std::shared_ptr<const ConfigSnapshot> snapshot;
     WithdrawnKeys withdrawnKeys;
     std::map<std::string, std::unique_ptr<PoolAdmission>> admissions;
--- a/include/citronloft/edge/target_path_monitor.hpp
+++ b/include/citronloft/edge/target_path_monitor.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// @brief Watches whether this host reaches targets, by its requests and by connection probes.
+/// @brief Watches whether this host reaches targets, by its requests and by probes.
 #pragma once
 
 #include <map>
@@ -11,12 +11,15 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 
+#include "citronloft/base/config.hpp"
 #include "citronloft/base/metrics.hpp"
+#include "citronloft/edge/dialect.hpp"
 #include "citronloft/edge/http_client.hpp"
 #include "citronloft/policy/held_losses.hpp"
 #include "citronloft/policy/live_target.hpp"
 #include "citronloft/policy/lost_targets.hpp"
 #include "citronloft/policy/target_reachability.hpp"
+#include "citronloft/policy/target_statement_registry.hpp"
 
 namespace citronloft {
 
@@ -27,15 +30,18 @@
     std::vector<HeldLoss> confirmedLosses;
 };
 
-/// @brief Feeds TargetReachability from exchanges, sends connection probes, and holds losses back until the state of
+/// @brief Feeds TargetReachability from exchanges, sends probes, and holds losses back until the state of
 /// the path is known and whether the target has ended.
 class TargetPathMonitor : public std::enable_shared_from_this<TargetPathMonitor> {
 public:
-    TargetPathMonitor(
-        boost::asio::io_context& context, const Clock& clock, Metrics& metrics, std::shared_ptr<HttpClient> client);
+    /// @param dialect must outlive the monitor.
+    /// @param statements what targets have stated; one that has asked for a pause gets no health probes.
+    TargetPathMonitor(boost::asio::io_context& context, const Clock& clock, Metrics& metrics,
+        std::shared_ptr<HttpClient> client, const Dialect& dialect,
+        std::shared_ptr<TargetStatementRegistry> statements);
 
     /// @brief Replaces the targets of a pool.
-    auto setTargets(const std::string& pool, const std::vector<LiveTarget>& targets, std::string_view ownZone) -> void;
+    auto setTargets(const Pool& pool, const std::vector<LiveTarget>& targets, std::string_view ownZone) -> void;
 
     /// @brief Records the start of an exchange with a target.
     auto recordStart() -> void { this->path.recordStart(this->clock.now()); }
@@ -68,7 +74,9 @@
     auto tick() -> PathUpdate;
 
 private:
-    auto probe(const PathTarget& target, TimePoint startedAt) -> void;
+    auto probe(const PathTarget& target, ProbeKind kind, TimePoint startedAt) -> void;
+    auto isOpen(const PathTarget& target, TimePoint startedAt, boost::asio::yield_context yield) -> bool;
+    auto answersHealthRequest(const PathTarget& target, TimePoint startedAt, boost::asio::yield_context yield) -> bool;
     auto probeLostTarget(const LostTarget& target, TimePoint startedAt) -> void;
     auto recordNewRuns(const std::string& pool, const std::vector<LiveTarget>& targets) -> void;
     auto logTargetEnd(const std::string& target, std::string_view evidence) -> void;
@@ -78,11 +86,14 @@
     const Clock& clock;
     Metrics& metrics;
     std::shared_ptr<HttpClient> client;
+    const Dialect& dialect;
+    std::shared_ptr<TargetStatementRegistry> statements;
     TargetReachability path;
     HeldLosses losses;
     LostTargets lostTargets;
     /// By pool.
     std::map<std::string, std::vector<PathTarget>> targets;
+    std::map<std::string, std::string> healthPaths;
     /// Keys of the targets that discovery lists, by pool.
     std::map<std::string, std::set<std::string>> runs;
     TimePoint lostAt {};
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -81,7 +81,7 @@
     , random(randomId())
     , client(this->option.httpClient ? this->option.httpClient : makeHttpClient(context, clock, this->option.client))
     , prober(clock, client)
-    , pathMonitor(std::make_shared<TargetPathMonitor>(context, clock, metrics, client))
+    , pathMonitor(std::make_shared<TargetPathMonitor>(context, clock, metrics, client, *dialect, targetStatements))
     , spillRouter(clock, metrics, fleet, client, *dialect,
           { .zone = this->option.zone,
               .fleetSecret = this->option.fleetSecret,
--- a/src/citronloft/edge/gateway_targets.cpp
+++ b/src/citronloft/edge/gateway_targets.cpp
@@ -84,7 +84,7 @@
     if (this->option.discoversTargets) {
         const auto live = this->liveTargetsOf(pool);
         targets.setLiveTargets(live, this->clock.now());
-        this->pathMonitor->setTargets(pool.name, live, this->option.zone);
+        this->pathMonitor->setTargets(pool, live, this->option.zone);
         return;
     }
     auto local = std::vector<Target> {};
--- a/src/citronloft/edge/target_path_monitor.cpp
+++ b/src/citronloft/edge/target_path_monitor.cpp
@@ -22,29 +22,34 @@
 
 } // namespace
 
-TargetPathMonitor::TargetPathMonitor(
-    boost::asio::io_context& context, const Clock& clock, Metrics& metrics, std::shared_ptr<HttpClient> client)
+TargetPathMonitor::TargetPathMonitor(boost::asio::io_context& context, const Clock& clock, Metrics& metrics,
+    std::shared_ptr<HttpClient> client, const Dialect& dialect, std::shared_ptr<TargetStatementRegistry> statements)
     : context(context)
     , clock(clock)
     , metrics(metrics)
     , client(std::move(client))
+    , dialect(dialect)
+    , statements(std::move(statements))
 {
 }
 
-auto TargetPathMonitor::setTargets(
-    const std::string& pool, const std::vector<LiveTarget>& targets, std::string_view ownZone) -> void
+auto TargetPathMonitor::setTargets(const Pool& pool, const std::vector<LiveTarget>& targets, std::string_view ownZone)
+    -> void
 {
-    auto& list = this->targets[pool];
+    this->healthPaths[pool.name] = pool.healthPath;
+    auto& list = this->targets[pool.name];
     list.clear();
     for (const auto& live : targets) {
-        if (!live.evacuated && !live.target.draining)
-            list.push_back({ live.key(), live.target.address, live.target.zone, pool, live.target.zone == ownZone });
+        const auto& target = live.target;
+        if (!live.evacuated && !target.draining)
+            list.push_back(
+                { live.key(), target.address, target.zone, pool.name, target.zone == ownZone, live.instance });
     }
     auto all = std::vector<PathTarget> {};
     for (const auto& [name, poolTargets] : this->targets)
         all.insert(all.end(), poolTargets.begin(), poolTargets.end());
     this->path.setTargets(all);
-    this->recordNewRuns(pool, targets);
+    this->recordNewRuns(pool.name, targets);
 }
 
 /// A run that appears at the address of a target shows that the target has ended. Entries of earlier runs may still be
@@ -88,6 +93,8 @@
             this->path.recordConnect(target, false, startedAt, now);
         break;
     case ExchangeError::AnswerTimeout:
+        this->path.recordUnanswered(target, now);
+        break;
     case ExchangeError::ConnectionLost:
         this->path.recordLoss(target, now);
         break;
@@ -121,7 +128,7 @@
     for (const auto& target : this->lostTargets.takeDueProbes(now))
         this->probeLostTarget(target, now);
     for (const auto& target : this->path.takeDueProbes(now))
-        this->probe(target, now);
+        this->probe(target, this->path.probeKind(), now);
     auto update = PathUpdate {};
     update.change = this->path.takeChange();
     if (update.change)
@@ -132,19 +139,46 @@
     return update;
 }
 
-auto TargetPathMonitor::probe(const PathTarget& target, TimePoint startedAt) -> void
+auto TargetPathMonitor::probe(const PathTarget& target, ProbeKind kind, TimePoint startedAt) -> void
 {
-    startCoroutine(this->context, "connection-probe",
-        [self = this->shared_from_this(), target, startedAt](boost::asio::yield_context yield) {
-            const auto address = parseAddress(target.address);
-            const auto isOpen = address.ok()
-                && self->client->connect(*address, startedAt + probeTimeout, yield) == ConnectResult::Open;
-            self->metrics.count(
-                "citronloft_connection_probes_total", isOpen ? "result=\"open\"" : "result=\"not-open\"");
-            self->path.recordProbe(target.key, isOpen, startedAt, self->clock.now());
+    startCoroutine(this->context, "path-probe",
+        [self = this->shared_from_this(), target, kind, startedAt](boost::asio::yield_context yield) {
+            using Probe = auto(TargetPathMonitor::*)(const PathTarget&, TimePoint, boost::asio::yield_context)->bool;
+            constexpr auto probes
+                = std::to_array<Probe>({ &TargetPathMonitor::isOpen, &TargetPathMonitor::answersHealthRequest });
+            const auto isReached = (*self.*probes.at(static_cast<std::size_t>(kind)))(target, startedAt, yield);
+            self->path.recordProbe(target.key, isReached, startedAt, self->clock.now());
         });
 }
 
+auto TargetPathMonitor::isOpen(const PathTarget& target, TimePoint startedAt, boost::asio::yield_context yield) -> bool
+{
+    const auto address = parseAddress(target.address);
+    const auto isOpen
+        = address.ok() && this->client->connect(*address, startedAt + probeTimeout, yield) == ConnectResult::Open;
+    this->metrics.count("citronloft_connection_probes_total", isOpen ? "result=\"open\"" : "result=\"not-open\"");
+    return isOpen;
+}
+
+/// A refusal is an answer too. The expected instance keeps another server at the address from running the request. A
+/// target that has asked for a pause gets a connection only.
+auto TargetPathMonitor::answersHealthRequest(
+    const PathTarget& target, TimePoint startedAt, boost::asio::yield_context yield) -> bool
+{
+    const auto address = parseAddress(target.address);
+    if (!address.ok() || this->statements->statementsOf(target.key)->isPaused(startedAt))
+        return this->isOpen(target, startedAt, yield);
+    auto fields = ForwardedFields {};
+    fields.remainingTime = probeTimeout;
+    fields.instance = target.instance;
+    const auto request = this->dialect.makeTargetRequest({ "GET", this->healthPaths[target.pool], {}, {} }, fields);
+    const auto option = ExchangeOption { .deadline = startedAt + probeTimeout, .maxIdleTime = {} };
+    const auto exchange = this->client->exchange(*address, request, option, yield);
+    const auto isAnswered = exchange.error == ExchangeError::None;
+    this->metrics.count("citronloft_health_probes_total", isAnswered ? "result=\"answered\"" : "result=\"unanswered\"");
+    return isAnswered;
+}
+
 /// A refused connection shows that nothing listens at the target's address any more.
 auto TargetPathMonitor::probeLostTarget(const LostTarget& target, TimePoint startedAt) -> void
 {
@@ -173,6 +207,7 @@
         LogEvent(LogLevel::Warning, "target-path-lost")
             .with("targets_not_reached", change.targetsNotReached)
             .with("reached_ms_ago", hasReached ? std::to_string(milliseconds(now - change.lastReachedAt)) : "never")
+            .with("evidence", change.probeKind == ProbeKind::Health ? "unanswered" : "not-open")
             .with("probes", change.probes);
         return;
     }
--- a/src/citronloft/edge/target_path_monitor_test.cpp
+++ b/src/citronloft/edge/target_path_monitor_test.cpp
@@ -15,10 +15,11 @@
 /// Client whose connections are all opened or all refused at once, but for addresses that always refuse.
 class UniformClient final : public HttpClient {
 public:
-    auto exchange(const Address& /*address*/, const HttpRequest& /*request*/, const ExchangeOption& /*option*/,
+    auto exchange(const Address& address, const HttpRequest& request, const ExchangeOption& /*option*/,
         boost::asio::yield_context /*yield*/) -> Exchange override
     {
-        return {};
+        this->requests.emplace_back(address, request);
+        return { .error = this->isAnswering ? ExchangeError::None : ExchangeError::AnswerTimeout, .response = {} };
     }
 
     auto connect(const Address& address, TimePoint /*deadline*/, boost::asio::yield_context /*yield*/)
@@ -33,8 +34,10 @@
     [[nodiscard]] auto openConnections(const Address& /*address*/) const -> std::size_t override { return 0; }
 
     bool isOpen = true;
+    bool isAnswering = true;
     std::set<Address> refusing;
     int connects = 0;
+    std::vector<std::pair<Address, HttpRequest>> requests;
 };
 
 class TargetPathMonitorTest : public testing::Test {
@@ -44,7 +47,7 @@
         auto targets = std::vector<LiveTarget> {};
         for (const auto* address : { "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3" })
             targets.emplace_back().target = { address, "a", 10, 100, false };
-        this->monitor->setTargets("pool", targets, "a");
+        this->monitor->setTargets(this->pool, targets, "a");
     }
 
     auto run(Duration time) -> void
@@ -57,12 +60,35 @@
         }
     }
 
+    static auto makePool() -> Pool
+    {
+        auto pool = Pool {};
+        pool.name = "pool";
+        pool.healthPath = "/health";
+        return pool;
+    }
+
+    /// Lets requests to all targets end without an answer.
+    auto loseRequests() -> void
+    {
+        for (const auto* target : { "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3" }) {
+            this->monitor->recordStart();
+            this->monitor->recordEnd(target,
+                { .error = ExchangeError::AnswerTimeout, .response = {}, .sent = true, .reused = true },
+                this->clock.now());
+        }
+    }
+
     const LostTarget firstTarget { "127.0.0.1:1", { "127.0.0.1", 1 } };
     boost::asio::io_context context { 1 };
     ManualClock clock;
     Metrics metrics;
     std::shared_ptr<UniformClient> client = std::make_shared<UniformClient>();
-    std::shared_ptr<TargetPathMonitor> monitor = std::make_shared<TargetPathMonitor>(context, clock, metrics, client);
+    const Pool pool = makePool();
+    std::unique_ptr<Dialect> dialect = makeDefaultDialect();
+    std::shared_ptr<TargetStatementRegistry> statements = std::make_shared<TargetStatementRegistry>();
+    std::shared_ptr<TargetPathMonitor> monitor
+        = std::make_shared<TargetPathMonitor>(context, clock, metrics, client, *dialect, statements);
     std::vector<HeldLoss> confirmed;
 };
 
@@ -86,6 +112,38 @@
     EXPECT_EQ(this->monitor->state(), PathState::Reached);
 }
 
+/// Guards against a host that takes connections that open for a path, although nothing is answered on them.
+TEST_F(TargetPathMonitorTest, UnansweredRequestsAreFollowedByHealthRequestsThatDecide)
+{
+    this->run(2s);
+    EXPECT_TRUE(this->client->requests.empty());
+    this->loseRequests();
+    this->run(1s);
+    ASSERT_FALSE(this->client->requests.empty());
+    EXPECT_EQ(this->client->requests.front().second.method, "GET");
+    EXPECT_EQ(this->client->requests.front().second.target, "/health");
+    EXPECT_EQ(this->monitor->state(), PathState::Reached);
+    this->monitor->recordEnd("127.0.0.1:1", { .response = {}, .sent = true, .reused = true }, this->clock.now());
+    this->client->isAnswering = false;
+    this->run(2s);
+    this->loseRequests();
+    this->run(1s);
+    EXPECT_EQ(this->monitor->state(), PathState::Lost);
+}
+
+TEST_F(TargetPathMonitorTest, PausedTargetsGetNoHealthRequests)
+{
+    this->client->isAnswering = false;
+    const auto now = this->clock.now();
+    for (const auto* target : { "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3" })
+        this->statements->statementsOf(target)->recordPause(now + 1min, now);
+    this->run(2s);
+    this->loseRequests();
+    this->run(3s);
+    EXPECT_TRUE(this->client->requests.empty());
+    EXPECT_EQ(this->monitor->state(), PathState::Reached);
+}
+
 TEST_F(TargetPathMonitorTest, LossIsReportedOnceTheTargetRefusesAndAProbeReachesAnother)
 {
     this->run(500ms);
@@ -121,7 +179,7 @@
     targets[0].target = { "127.0.0.1:1", "a", 10, 100, false };
     targets[0].instance = "i-1";
     targets[0].startedAtMs = 2;
-    this->monitor->setTargets("pool", targets, "a");
+    this->monitor->setTargets(this->pool, targets, "a");
     this->monitor->recordTargetEnd("i-2@1", "replaced");
     this->run(100ms);
     EXPECT_EQ(this->confirmed.size(), 2U);
@@ -135,10 +193,10 @@
         live.target = { "127.0.0.1:1", "a", 10, 100, false };
     targets[0].instance = "i-1";
     targets[1].instance = "i-2";
-    this->monitor->setTargets("pool", targets, "a");
+    this->monitor->setTargets(this->pool, targets, "a");
     this->run(500ms);
     this->monitor->holdLoss(7, { targets[1].key(), { "127.0.0.1", 1 } }, this->clock.now());
-    this->monitor->setTargets("pool", targets, "a");
+    this->monitor->setTargets(this->pool, targets, "a");
     this->run(5s);
     EXPECT_TRUE(this->confirmed.empty());
 }
--- a/src/citronloft/policy/target_reachability.cpp
+++ b/src/citronloft/policy/target_reachability.cpp
@@ -37,7 +37,11 @@
 
 auto TargetReachability::recordAnswer(const std::string& key, TimePoint startedAt, TimePoint now) -> void
 {
+    this->lastAnswerAt = std::max(this->lastAnswerAt, now);
+    this->nextHealthProbesAt = TimePoint {};
     this->recordReached(key, startedAt, now);
+    if (this->kind == ProbeKind::Health)
+        this->clearSuspicion();
 }
 
 auto TargetReachability::recordLoss(const std::string& key, TimePoint now) -> void
@@ -46,6 +50,13 @@
         this->extend(this->known[found->second].losses, now, this->lastReachedAt, now);
 }
 
+auto TargetReachability::recordUnanswered(const std::string& key, TimePoint now) -> void
+{
+    this->recordLoss(key, now);
+    if (const auto found = this->indexByKey.find(key); found != this->indexByKey.end())
+        this->known[found->second].unansweredAt = now;
+}
+
 auto TargetReachability::recordConnect(const std::string& key, bool isOpen, TimePoint startedAt, TimePoint now) -> void
 {
     if (!isOpen) {
@@ -53,22 +64,27 @@
         return;
     }
     this->recordOpen(key, startedAt, now);
-    this->clearSuspicion();
+    if (this->kind == ProbeKind::Connection)
+        this->clearSuspicion();
 }
 
-auto TargetReachability::recordProbe(const std::string& key, bool isOpen, TimePoint startedAt, TimePoint now) -> void
+auto TargetReachability::recordProbe(const std::string& key, bool isReached, TimePoint startedAt, TimePoint now) -> void
 {
     ++this->probes;
-    if (isOpen) {
+    if (isReached) {
         ++this->probesReached;
         ++this->round.reached;
         this->recordOpen(key, startedAt, now);
+        if (this->round.kind == ProbeKind::Health)
+            this->lastAnswerAt = now;
     } else {
         const auto found = this->indexByKey.find(key);
         const auto wasReached = found != this->indexByKey.end() && this->holdingSince
             && this->known[found->second].reachedAt >= this->holdingSince;
-        this->round.hasRelapse = this->round.hasRelapse || wasReached;
-        this->recordNotOpen(key, startedAt, now);
+        // A health probe can wait for a slot, which is no relapse of the path.
+        this->round.hasRelapse = this->round.hasRelapse || (wasReached && this->round.kind == ProbeKind::Connection);
+        if (this->round.kind == ProbeKind::Connection)
+            this->recordNotOpen(key, startedAt, now);
     }
     if (--this->round.pending > 0)
         return;
@@ -95,6 +111,10 @@
 
 auto TargetReachability::pickWhileReached(TimePoint now) -> std::vector<PathTarget>
 {
+    if (this->isSilent(now)) {
+        this->suspectSilence(now);
+        return this->pickWhileSuspected(now);
+    }
     auto dueAt = this->probeDueAt();
     if (this->isProbeRequested)
         dueAt = std::min(dueAt, this->round.startedAt + this->option.suspectedInterval);
@@ -123,15 +143,19 @@
 /// A single probe that failed is followed by a round at once.
 auto TargetReachability::endRoundWhileReached(TimePoint now) -> void
 {
-    if (this->lastOpenAt < this->round.startedAt)
+    if (this->round.kind == ProbeKind::Connection && this->lastOpenAt < this->round.startedAt)
         this->suspect(this->round.startedAt, now);
 }
 
 auto TargetReachability::endRoundWhileSuspected(TimePoint now) -> void
 {
-    if (this->round.reached > 0)
+    if (this->round.reached > 0) {
+        if (this->round.kind == ProbeKind::Health)
+            this->nextHealthProbesAt = now + this->option.silenceInterval;
         this->clearSuspicion();
-    else if (now - this->suspectedSince >= this->option.minLossTime)
+        return;
+    }
+    if (now - this->suspectedSince >= this->option.minLossTime)
         this->lose(now);
 }
 
@@ -153,7 +177,7 @@
         next->lastPick = ++this->picks;
         chosen.push_back(next->target);
     }
-    this->round = { now, chosen.size(), 0, false };
+    this->round = { this->kind, now, chosen.size(), 0, false };
     this->nextRoundAt = nextAt;
     return chosen;
 }
@@ -187,11 +211,19 @@
     this->probesReached = 0;
 }
 
+auto TargetReachability::suspectSilence(TimePoint now) -> void
+{
+    this->suspect(now, now);
+    this->kind = ProbeKind::Health;
+    this->probes = 0;
+}
+
 auto TargetReachability::clearSuspicion() -> void
 {
     if (this->current != PathState::Suspected)
         return;
     this->current = PathState::Reached;
+    this->kind = ProbeKind::Connection;
     this->isProbeRequested = false;
 }
 
@@ -210,11 +242,13 @@
 {
     this->change = this->makeChange(PathState::Reached, now);
     this->current = PathState::Reached;
+    this->kind = ProbeKind::Connection;
     this->backAt = now;
     this->isProbeRequested = false;
     for (auto& item : this->known) {
         item.losses = {};
         item.failedConnects = {};
+        item.unansweredAt = {};
     }
 }
 
@@ -259,6 +293,16 @@
     return isSuspicious(&Known::failedConnects, this->lastOpenAt) || isSuspicious(&Known::losses, this->lastReachedAt);
 }
 
+/// @return whether requests to several targets have stayed unanswered, and no other has been answered meanwhile.
+auto TargetReachability::isSilent(TimePoint now) const -> bool
+{
+    if (now - this->lastAnswerAt < this->option.silenceTime || now < this->nextHealthProbesAt)
+        return false;
+    const auto needed = std::min(this->option.failedTargets, this->known.size());
+    const auto isUnanswered = [&](const Known& item) { return item.unansweredAt > this->lastAnswerAt; };
+    return static_cast<std::size_t>(std::ranges::count_if(this->known, isUnanswered)) >= needed;
+}
+
 auto TargetReachability::extend(Failures& failures, TimePoint startedAt, TimePoint successAt, TimePoint now) const
     -> void
 {
@@ -284,12 +328,15 @@
 
 auto TargetReachability::makeChange(PathState state, TimePoint now) const -> PathChange
 {
-    auto made = PathChange { state, this->lastReachedAt, this->lastReachedAt, 0, this->probes, this->probesReached };
+    const auto reachedAt = this->kind == ProbeKind::Health ? this->lastAnswerAt : this->lastReachedAt;
+    auto made = PathChange { state, reachedAt, reachedAt, 0, this->kind, this->probes, this->probesReached };
     for (const auto& item : this->known) {
         const auto cannotConnect = this->isRecent(item.failedConnects, this->lastOpenAt, now);
         if (cannotConnect)
             made.since = std::min(made.since, item.failedConnects.firstAt);
-        made.targetsNotReached += cannotConnect || this->isRecent(item.losses, this->lastReachedAt, now) ? 1 : 0;
+        const auto isLost = this->isRecent(item.losses, this->lastReachedAt, now)
+            || (this->kind == ProbeKind::Health && item.unansweredAt > this->lastAnswerAt);
+        made.targetsNotReached += cannotConnect || isLost ? 1 : 0;
     }
     made.since = std::max(made.since, now - this->option.failureMemory);
     return made;
--- a/src/citronloft/policy/target_reachability_test.cpp
+++ b/src/citronloft/policy/target_reachability_test.cpp
@@ -17,13 +17,17 @@
 struct Connect {
     bool isOpen = true;
     Duration time = 2ms;
+    bool isAnswered = true;
 };
 
+constexpr auto healthTimeout = 1s;
+
 using Network = std::function<Connect(const PathTarget&)>;
 
 auto openAll(const PathTarget& /*target*/) -> Connect { return {}; }
 auto hangAll(const PathTarget& /*target*/) -> Connect { return { false, connectTimeout }; }
 auto refuseAll(const PathTarget& /*target*/) -> Connect { return { false, 0ms }; }
+auto ignoreAll(const PathTarget& /*target*/) -> Connect { return { true, 2ms, false }; }
 
 /// A host with targets in three zones and two pools, in steps of its tick.
 class TargetReachabilityTest : public testing::Test {
@@ -74,7 +78,10 @@
             this->traffic();
         for (const auto& target : this->path.takeDueProbes(this->now)) {
             const auto connect = this->network(target);
-            this->pending.push_back({ target.key, connect.isOpen, this->now, this->now + connect.time });
+            const auto needsAnswer = this->path.probeKind() == ProbeKind::Health;
+            const auto isReached = connect.isOpen && (connect.isAnswered || !needsAnswer);
+            const auto time = needsAnswer && !connect.isAnswered ? Duration { healthTimeout } : connect.time;
+            this->pending.push_back({ target.key, isReached, this->now, this->now + time });
             this->probed.insert(target.key);
             ++this->probes;
             this->maxPending = std::max(this->maxPending, this->pending.size());
@@ -83,6 +90,17 @@
             this->changes.push_back(*change);
     }
 
+    /// Lets requests to all targets end without an answer, the first ones after `delay`.
+    auto loseRequests(Duration delay) -> void
+    {
+        this->traffic = [this, lostFrom = this->now + delay] {
+            for (const auto& target : this->targets) {
+                if (this->now >= lostFrom)
+                    this->path.recordUnanswered(target.key, this->now);
+            }
+        };
+    }
+
     auto countChanges(PathState state) const -> int
     {
         return static_cast<int>(std::ranges::count(this->changes, state, &PathChange::state));
@@ -210,7 +228,7 @@
     this->path.recordStart(this->now);
     this->traffic = [this] {
         for (const auto& target : this->targets)
-            this->path.recordLoss(target.key, this->now);
+            this->path.recordUnanswered(target.key, this->now);
     };
     this->run(20s);
     EXPECT_EQ(this->countChanges(PathState::Lost), 0);
@@ -226,6 +244,61 @@
     EXPECT_EQ(this->countChanges(PathState::Lost), 0);
 }
 
+/// Guards against a host that takes connections that open for a path, although nothing is answered on them.
+TEST_F(TargetReachabilityTest, BusyHostNoticesThatNothingIsAnsweredOnOpenConnections)
+{
+    this->traffic = [this] { this->path.recordAnswer("a-first-0", this->now, this->now); };
+    this->run(5s);
+    this->loseRequests(700ms);
+    this->network = ignoreAll;
+    ASSERT_TRUE(this->runUntilState(PathState::Lost, 3s));
+    EXPECT_EQ(this->changes.back().probeKind, ProbeKind::Health);
+    EXPECT_GE(this->changes.back().targetsNotReached, 3U);
+    this->traffic = {};
+    this->run(5s);
+    EXPECT_EQ(this->path.state(), PathState::Lost);
+    this->network = openAll;
+    EXPECT_TRUE(this->runUntilState(PathState::Reached, 3s));
+    this->run(10s);
+    EXPECT_EQ(this->countChanges(PathState::Lost), 1);
+}
+
+TEST_F(TargetReachabilityTest, OneTargetThatAnswersHealthRequestsIsEnough)
+{
+    this->network = [](const PathTarget& target) { return target.zone == "c" ? openAll(target) : ignoreAll(target); };
+    this->loseRequests(0ms);
+    this->run(20s);
+    EXPECT_EQ(this->countChanges(PathState::Lost), 0);
+    EXPECT_LE(this->probes, 20 * 8);
+}
+
+/// Guards against a path that counts as lost since targets close connections without an answer.
+TEST_F(TargetReachabilityTest, TargetsThatCloseConnectionsWithoutAnAnswerAreNoLostPath)
+{
+    this->network = ignoreAll;
+    this->traffic = [this] {
+        for (const auto& target : this->targets)
+            this->path.recordLoss(target.key, this->now);
+    };
+    this->run(20s);
+    EXPECT_EQ(this->countChanges(PathState::Lost), 0);
+}
+
+/// A target that serves all other hosts slowly answers this one now and then.
+TEST_F(TargetReachabilityTest, AnswersEverySecondKeepHealthProbesAway)
+{
+    this->network = ignoreAll;
+    auto ticks = 0;
+    this->traffic = [this, &ticks] {
+        for (const auto& target : this->targets)
+            this->path.recordUnanswered(target.key, this->now);
+        if (++ticks % 40 == 0)
+            this->path.recordAnswer("b-second-1", this->now, this->now);
+    };
+    this->run(20s);
+    EXPECT_EQ(this->countChanges(PathState::Lost), 0);
+}
+
 /// The class cannot tell a lost path from targets that are all down; its user compares hosts.
 TEST_F(TargetReachabilityTest, FleetOfCrashedTargetsLooksLikeLostPath)
 {
--- a/tests/fakes/cut_http_client.hpp
+++ b/tests/fakes/cut_http_client.hpp
@@ -24,6 +24,8 @@
     Reset,
     /// New connections are refused, while open ones are not affected.
     RefuseNew,
+    /// Connections are opened, and nothing is received on them.
+    Silence,
 };
 
 /// @brief Passes exchanges on to another client, except those with addresses that are cut off.
@@ -52,6 +54,10 @@
             return isLost ? Exchange { ExchangeError::ConnectionLost, {}, true, result.reused } : result;
         }
         ++this->cutExchanges;
+        if (this->cut == ConnectionCut::Silence) {
+            this->waitUntil(option.deadline, yield);
+            return { ExchangeError::AnswerTimeout, {}, true, hasConnection };
+        }
         if (this->cut == ConnectionCut::Hang)
             this->waitUntil(std::min(option.deadline, this->clock.now() + hangTime(hasConnection)), yield);
         if (hasConnection)
@@ -62,7 +68,8 @@
 
     auto connect(const Address& address, TimePoint deadline, boost::asio::yield_context yield) -> ConnectResult override
     {
-        if (this->cut == ConnectionCut::None || !this->cutAddresses.contains(address))
+        const auto opens = this->cut == ConnectionCut::None || this->cut == ConnectionCut::Silence;
+        if (opens || !this->cutAddresses.contains(address))
             return this->client->connect(address, deadline, yield);
         if (this->cut == ConnectionCut::Hang)
             this->waitUntil(std::min(deadline, this->clock.now() + hangTime(false)), yield);
