The time for which a request has waited for a busy event loop counts

It dated a request from when it read it, up to a second after its arrival.

The 20 ms timer of the host measures how late the loop is. What is read before an overdue tick has waited for as long as the tick is overdue at most, and what is read after a late one for that delay; requests are dated back by it (LoopDelay). Their deadlines, the remaining time that targets are told, and the order in the queue follow. A loop that keeps up changes nothing.

No message between hosts and no stored object changes.

--- a/include/citronloft/edge/call.hpp
+++ b/include/citronloft/edge/call.hpp
@@ -45,6 +45,7 @@
     CallerFields fields;
     /// Pool chosen by the route's traffic split.
     std::string pool;
+    /// Earliest time at which the request may have arrived; a busy event loop reads it later.
     TimePoint receivedAt;
     CallerContext* caller = nullptr;
     TimePoint deadline;
--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -25,6 +25,7 @@
 #include "citronloft/edge/target_prober.hpp"
 #include "citronloft/fleet/discovery.hpp"
 #include "citronloft/fleet/fleet_host.hpp"
+#include "citronloft/policy/loop_delay.hpp"
 #include "citronloft/policy/retry.hpp"
 #include "citronloft/policy/withdrawn_keys.hpp"
 
@@ -116,6 +117,14 @@
     /// @brief Advances queues and lookup planning and publishes headroom; to be called about every 20 ms.
     auto tick() -> void;
 
+    /// @brief Records a tick of a timer of the event loop that reads the requests.
+    /// @param dueAt time at which the tick was due.
+    /// @param nextDueAt time at which the next one is due.
+    auto recordLoopTick(TimePoint dueAt, TimePoint nextDueAt) -> void
+    {
+        this->loopDelay.recordTick(dueAt, nextDueAt, this->clock.now());
+    }
+
     /// @brief Probes every target once; to be called about once per second.
     auto probeTargets(boost::asio::yield_context yield) -> void;
 
@@ -239,6 +248,7 @@
     ResponseFieldLog responseFieldLog;
     std::vector<TargetLoad> publishedLoads;
     TimePoint nextLoadPublishAt {};
+    LoopDelay loopDelay;
     std::shared_ptr<HttpClient> client;
     TargetProber prober;
     std::shared_ptr<TargetStatementRegistry> targetStatements = std::make_shared<TargetStatementRegistry>();
--- a/programs/citronloftd/components.cpp
+++ b/programs/citronloftd/components.cpp
@@ -49,8 +49,10 @@
     this->timer.async_wait([this](boost::system::error_code error) {
         if (error)
             return;
-        this->recordLoopDelay(this->host.clock.now() - this->timer.expiry());
+        const auto dueAt = TimePoint { this->timer.expiry() };
+        this->recordLoopDelay(this->host.clock.now() - dueAt);
         this->scheduleTick();
+        this->host.gateway->recordLoopTick(dueAt, this->timer.expiry());
         this->host.supervisor->runGuarded("fleet", [this] { this->host.onTick(); });
     });
 }
--- a/src/citronloft/edge/body_memory_test.cpp
+++ b/src/citronloft/edge/body_memory_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/detached.hpp>
 
+#include "citronloft/edge/call.hpp"
 #include "citronloft/edge/http_client.hpp"
 #include "citronloft/edge/http_server.hpp"
 #include "fakes/raw_peer.hpp"
@@ -127,6 +128,23 @@
     EXPECT_EQ(this->memory->usedBytes(), 0U);
 }
 
+/// Guards against copies of a large body while its request is forwarded.
+TEST(ForwardedRequestTest, HoldsTheOnlyCopyOfTheBodyAndReturnsIt)
+{
+    auto request = HttpRequest { "POST", "/x", {}, std::string(limitBytes, 'a') };
+    const auto* bytes = request.body.data();
+    auto call = Call {};
+    call.request = &request;
+    const auto dialect = makeDefaultDialect();
+    {
+        const auto forwarded = ForwardedRequest(*dialect, call, {}, TimePoint {});
+        EXPECT_EQ(forwarded.request.body.data(), bytes);
+        EXPECT_TRUE(request.body.empty());
+    }
+    EXPECT_EQ(request.body.data(), bytes);
+    EXPECT_EQ(request.body.size(), limitBytes);
+}
+
 /// Guards against bodies of requests that take a host over its memory, each of them within its limit.
 TEST_F(BodyMemoryTest, RequestsWhoseBodiesDoNotFitAreRefusedAsNotRun)
 {
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -156,7 +156,7 @@
     call.request = &request;
     call.caller = &caller;
     call.fields = this->dialect->parseRequest(request);
-    call.receivedAt = this->lastRequestTime;
+    call.receivedAt = this->lastRequestTime - this->loopDelay.waitBefore(this->lastRequestTime);
     call.isSpilled = request.fields.has(spillHeader);
     return call.isSpilled ? this->handleSpilled(call, yield) : this->handleCaller(call, yield);
 }
