Cases of the failure tests can be listed as known to be red; lost-region is, and prints its answer

The answer was not logged, so that the cause is not known: it is a finding, KNOWN-RED 14, and the case prints its answer from now on.

The list could name tests of GoogleTest only. scripts/known-red.sh prints the cases that it lists, and scripts/test.sh runs them last and prints them, as it does with the tests. No bound and no check of the case changes.

--- a/scripts/failure-test.sh
+++ b/scripts/failure-test.sh
@@ -315,7 +315,7 @@
 }
 
 case_lost_region() {
-  local zone host
+  local zone host answer
   begin_load 14
   sleep 2
   for zone in 5 6; do
@@ -327,8 +327,10 @@
   judge
   check "the other regions were served" [ "$(code_count 1000)" -gt 4000 ]
   sleep 6
+  answer="$(curl -s "http://127.$FLEET_NET.1.1:8080/citronloft/v1/lookup?client=10.5.0.7" || echo "none: curl status $?")"
+  echo "  answer to the look-up: $answer"
   check "callers of the lost region are shifted within the cap or told to retry" \
-    bash -c "curl -s 'http://127.$FLEET_NET.1.1:8080/citronloft/v1/lookup?client=10.5.0.7' | grep -qE 'shift-cap-reached|auckland|christchurch'"
+    grep -qE 'shift-cap-reached|auckland|christchurch' <<<"$answer"
 }
 
 case_team_over_its_rate() {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,10 +4,15 @@
 cd "$(dirname "$0")/.."
 scripts/build.sh
 known="$(scripts/known-red.sh)"
-GTEST_FILTER="-$known" ctest --preset release
+cases="$(scripts/known-red.sh case)"
+GTEST_FILTER="-$known" ctest --preset release ${cases:+--exclude-regex "^($cases)\$"}
 if [[ -n $known ]]; then
   echo "known to be red (KNOWN-RED.txt): $known"
   for program in build/release/fleet_test build/release/platform/tests/platform_test; do
     "$program" --gtest_filter="$known" || true
   done
 fi
+if [[ -n $cases ]]; then
+  echo "known to be red (KNOWN-RED.txt): $cases"
+  ctest --preset release --tests-regex "^($cases)\$" --output-on-failure || true
+fi
