--- a/include/citronloft/base/config.hpp
+++ b/include/citronloft/base/config.hpp
@@ -69,10 +69,21 @@
     bool sticky = false;
     /// Regions in which the route's requests may run; empty: all.
     std::vector<std::string> homeRegions;
+    /// Whether requests or responses are so large that links between regions matter more than the target's cache. Set by
+    /// adapters whose configuration states it; not part of the stored configuration.
+    bool hasLargeBodies = false;
 
     auto operator==(const Route&) const -> bool = default;
 };
 
+/// @brief How the objects of a route are placed on the targets of all zones.
+enum class Placement : std::uint8_t {
+    /// Each zone places its requests on its own targets first, then on spare capacity in its region and elsewhere.
+    Zone,
+    /// All zones share all targets in proportion to their slots.
+    Fleet,
+};
+
 /// @brief A backend server that runs requests.
 struct Target {
     /// IP address and port.
