Place objects fleet-wide where the configuration marks routes with large bodies

Cause: objects were placed for each zone, so that an object had up to six first targets. At four requests per second for an object each of them saw it less than once per second, and most requests ran without the object in the target's cache; the zones of the region with few targets suffered most. Change: setting 'placement: fleet' weights all targets by their slots for routes with small bodies and an objective of at least 330 ms, if the configuration marks routes with large bodies.

--- a/include/citronloft/base/host_settings.hpp
+++ b/include/citronloft/base/host_settings.hpp
@@ -56,6 +56,8 @@
     LogLevel logLevel = LogLevel::Info;
     /// Queue discipline: "fair" or "fifo".
     std::string queue = "fair";
+    /// How objects are placed on discovered targets: "zone" or "fleet" (see Placement).
+    std::string placement = "zone";
     /// Scope within which hosts lend each other tokens: "fleet", "zone" or "none".
     std::string lending = "fleet";
 
--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -27,6 +27,7 @@
 #include "citronloft/fleet/fleet_host.hpp"
 #include "citronloft/policy/loop_delay.hpp"
 #include "citronloft/policy/retry.hpp"
+#include "citronloft/policy/target_weights.hpp"
 #include "citronloft/policy/withdrawn_keys.hpp"
 
 namespace citronloft {
@@ -45,6 +46,8 @@
     /// Whether targets of all zones are found by discovery and requests are sent to them directly. If so, requests are
     /// forwarded to other hosts only while this host does not reach targets.
     bool discoversTargets = false;
+    /// Placement of objects on discovered targets, except for routes with large bodies.
+    Placement placement = Placement::Zone;
     /// Whether lookups are also answered on the service port.
     bool servesLookups = true;
     /// Whether the first attempt of an idempotent request has a timeout shorter than the deadline, so that it can be
@@ -256,6 +259,8 @@
     std::shared_ptr<TargetPathMonitor> pathMonitor;
     SpillRouter spillRouter;
     std::shared_ptr<const ConfigSnapshot> snapshot;
+    /// Whether the active configuration states which routes have large bodies (see placementOf()).
+    bool configStatesLargeBodies = false;
     WithdrawnKeys withdrawnKeys;
     std::map<std::string, std::unique_ptr<PoolAdmission>> admissions;
     std::size_t inFlightRequests = 0;
--- a/include/citronloft/policy/live_target.hpp
+++ b/include/citronloft/policy/live_target.hpp
@@ -19,8 +19,11 @@
     /// incarnation.
     std::int64_t startedAtMs = 0;
     std::string region;
-    /// Proportion of the objects that are assigned to the target, relative to the other targets of its pool.
+    /// Proportion of the objects that are assigned to the target, relative to the other targets of its pool, for
+    /// requests with Placement::Zone.
     double weight = 1;
+    /// The same for requests with Placement::Fleet.
+    double fleetWeight = 1;
     /// Time until which the target is cold and limited to the cold rate; the default value means a warm target.
     TimePoint coldUntil {};
     /// Maximum rate in requests per second from all hosts together while the target is cold; 0 means no limit.
--- a/include/citronloft/policy/target_pool.hpp
+++ b/include/citronloft/policy/target_pool.hpp
@@ -94,6 +94,7 @@
     std::optional<std::uint64_t> object;
     /// Regions in which the request is allowed to run; empty means all regions.
     std::vector<std::string> regions;
+    Placement placement = Placement::Zone;
 };
 
 /// @brief Change of a target's announced limit.
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -96,7 +96,10 @@
     this->addComponents();
     const auto status = this->supervisor->start();
     if (status.ok())
-        LogEvent(LogLevel::Info, "host-started").with("zone", this->settings.zone).with("ip", this->settings.ip);
+        LogEvent(LogLevel::Info, "host-started")
+            .with("zone", this->settings.zone)
+            .with("ip", this->settings.ip)
+            .with("placement", this->settings.placement);
     return status;
 }
 
@@ -148,6 +151,7 @@
     option.dialect = this->platform.dialect;
     option.queue = QueueStrategy::Urgency;
     option.discoversTargets = true;
+    option.placement = parsePlacement(this->settings.placement);
     option.servesLookups = false;
     option.limitsFirstAttempt = false;
     option.client.connectTimeout = targetConnectTimeout;
--- a/src/citronloft/base/host_settings.cpp
+++ b/src/citronloft/base/host_settings.cpp
@@ -156,6 +156,7 @@
     readSeedHosts(reader, settings.peerPort, settings.seeds);
     readChoice(reader, "queue", settings.queue, std::to_array<std::string_view>({ "fair", "fifo" }));
     readChoice(reader, "lending", settings.lending, std::to_array<std::string_view>({ "fleet", "zone", "none" }));
+    readChoice(reader, "placement", settings.placement, std::to_array<std::string_view>({ "zone", "fleet" }));
     if (!settings.ip.empty() && !parseIp(settings.ip).ok())
         reader.fault("ip", "must be an IP address");
     if (settings.adapter == "fleet" && !settings.regionOfZone.contains(settings.zone))
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -99,6 +99,7 @@
     if (this->snapshot)
         this->withdrawnKeys.record(this->snapshot->active->config, this->snapshot->active->version, next->keys);
     this->snapshot = std::move(next);
+    this->configStatesLargeBodies = statesLargeBodies(active->config);
     this->lookup.setConfig(*active);
     for (const auto& pool : active->config.pools) {
         this->retryBudgets.try_emplace(pool.name, this->option.retry);
--- a/src/citronloft/edge/gateway_targets.cpp
+++ b/src/citronloft/edge/gateway_targets.cpp
@@ -2,14 +2,12 @@
 #include <iterator>
 
 #include "citronloft/edge/gateway.hpp"
-#include "citronloft/policy/zone_shares.hpp"
+#include "citronloft/policy/target_weights.hpp"
 
 namespace citronloft {
 
 namespace {
 
-/// Weight of a target in a zone without a share: above zero, so that it is still chosen if no other target is usable.
-constexpr auto minTargetWeight = 1e-6;
 /// Load updates per service time, so that the zone's hosts learn of each other's requests while these are running.
 constexpr auto loadUpdatesPerServiceTime = 10;
 constexpr auto minLoadPublishInterval = std::chrono::milliseconds { 40 };
@@ -99,27 +97,16 @@
     if (found == this->discovered.end())
         return {};
     auto targets = found->second;
-    auto capacities = std::vector<ZoneCapacity> {};
-    for (const auto& zone : this->snapshot->active->config.zones)
-        capacities.push_back({ zone.name, zone.region, 0 });
+    const auto& zones = this->snapshot->active->config.zones;
     for (auto& live : targets) {
-        const auto zone = std::ranges::find(capacities, live.target.zone, &ZoneCapacity::zone);
+        const auto zone = std::ranges::find(zones, live.target.zone, &Zone::name);
         live.target.connections = pool.connections;
         live.coldRate = pool.coldRate;
         live.evacuated = this->evacuatedZones.contains(live.target.zone);
-        if (zone == capacities.end())
-            continue;
-        live.region = zone->region;
-        if (!live.evacuated && !live.target.draining)
-            zone->slots += live.target.slots;
-    }
-    const auto shares = shareAmongZones(capacities, this->option.zone);
-    for (auto& live : targets) {
-        const auto share = shares.find(live.target.zone);
-        const auto zone = std::ranges::find(capacities, live.target.zone, &ZoneCapacity::zone);
-        const auto weightPerSlot = share == shares.end() || zone->slots <= 0 ? 0 : share->second / zone->slots;
-        live.weight = std::max(weightPerSlot * live.target.slots, minTargetWeight);
+        if (zone != zones.end())
+            live.region = zone->region;
     }
+    assignTargetWeights(targets, zones, this->option.zone);
     return targets;
 }
 
@@ -133,6 +120,9 @@
     const auto name = std::string { call.fields.object };
     const auto hasObject = call.route->sticky && !name.empty();
     requirements.object = hasObject ? bucketId(call.pool + "/" + name) : randomHash(this->random);
+    requirements.placement = placementOf(*call.route, this->configStatesLargeBodies, this->option.placement);
+    this->metrics.count("citronloft_placed_requests_total",
+        "placement=\"" + std::string { placementName(requirements.placement) } + "\"");
     requirements.regions
         = intersectRegions(call.route->homeRegions, call.team == nullptr ? allRegions : call.team->homeRegions);
     return requirements;
--- a/src/citronloft/policy/target_pool.cpp
+++ b/src/citronloft/policy/target_pool.cpp
@@ -134,11 +134,13 @@
 {
     auto& best = this->scored;
     best.clear();
+    const auto isPlacedFleetWide = requirements.placement == Placement::Fleet;
     const auto byScore = [](const Scored& left, const Scored& right) { return left.score > right.score; };
     for (auto& member : this->members) {
         if (!this->isEligible(member, requirements, now))
             continue;
-        const auto score = rendezvousScore(member.hash, object, member.live.weight);
+        const auto weight = isPlacedFleetWide ? member.live.fleetWeight : member.live.weight;
+        const auto score = rendezvousScore(member.hash, object, weight);
         if (best.size() == this->option.targetsPerObject && score <= best.back().score)
             continue;
         const auto position = std::ranges::upper_bound(best, Scored { score, 0, nullptr }, byScore);
