--- a/tests/fakes/virtual_world.cpp
+++ b/tests/fakes/virtual_world.cpp
@@ -57,7 +57,8 @@
         delay = std::chrono::duration_cast<Duration>(std::chrono::duration<double, Duration::period>(delay) * factor);
         const auto from = this->node.address;
         this->world.events.after(delay, [this, &receiver, from, message] {
-            this->world.deliver(receiver, [&receiver, from, message] { receiver.host->receive(from, message); });
+            this->world.deliverDatagram(
+                receiver, [&receiver, from, message] { receiver.host->receive(from, message); });
         });
     }
 
@@ -336,6 +337,22 @@
         node.held.push_back(std::move(action));
 }
 
+auto VirtualWorld::deliverDatagram(Node& node, std::function<void()> action) -> void
+{
+    if (this->option.messagesPerTick == 0)
+        return this->deliver(node, std::move(action));
+    const auto now = this->events.now();
+    if (now - node.tickStartedAt >= this->option.tick) {
+        node.tickStartedAt = now;
+        node.messagesInTick = 0;
+    }
+    if (++node.messagesInTick <= this->option.messagesPerTick)
+        return this->deliver(node, std::move(action));
+    ++node.messagesDelayed;
+    this->events.after(this->option.overloadDelay,
+        [this, &node, action = std::move(action)]() mutable { this->deliver(node, std::move(action)); });
+}
+
 auto VirtualWorld::scheduleTick(Node& node, Duration delay) -> void
 {
     this->events.after(delay, [this, &node] {
--- a/tests/fakes/virtual_world.hpp
+++ b/tests/fakes/virtual_world.hpp
@@ -76,6 +76,10 @@
     Duration betweenZones = std::chrono::milliseconds { 20 };
     Duration store = std::chrono::milliseconds { 5 };
     double drift = 0.005;
+    /// Messages that a host processes without delay in one tick; the others are processed `overloadDelay` later, as on
+    /// a host whose share of a core is used up. 0: no limit.
+    std::size_t messagesPerTick = 0;
+    Duration overloadDelay = std::chrono::milliseconds { 60 };
     FleetHostOption host {};
 };
 
@@ -95,6 +99,10 @@
         std::vector<std::function<void()>> held;
         std::uint64_t bytesSent = 0;
         std::uint64_t messagesSent = 0;
+        /// Start of the current tick and the messages received since; only maintained if `messagesPerTick` is set.
+        TimePoint tickStartedAt {};
+        std::size_t messagesInTick = 0;
+        std::uint64_t messagesDelayed = 0;
     };
 
     explicit VirtualWorld(WorldOption option);
@@ -154,6 +162,8 @@
     };
 
     auto deliver(Node& node, std::function<void()> action) -> void;
+    /// Delivers a datagram, with a delay if the host has received too many in this tick.
+    auto deliverDatagram(Node& node, std::function<void()> action) -> void;
     auto scheduleTick(Node& node, Duration delay) -> void;
     auto isCut(const std::string& left, const std::string& right) const -> bool;
     [[nodiscard]] auto isLost(const Node& sender, const Node& receiver) const -> bool;
