A surge of a busy team no longer lowers the rate that the fleet mints; one loan serves several requests

Cause, traced in virtual time (busy_team_test.cpp): when a team's demand rises in all zones at once, every holder announces its rise, makes room for the others' at once and may not use its own until it is confirmed. The minted rate fell from 1,088 to 360 per second, and the smaller caps discarded tokens. Each other host asked for one token per request.

Messages are unchanged.

--- a/include/citronloft/fleet/rate_limiter.hpp
+++ b/include/citronloft/fleet/rate_limiter.hpp
@@ -14,6 +14,7 @@
 #include "citronloft/fleet/lease_terms.hpp"
 #include "citronloft/fleet/messages.hpp"
 #include "citronloft/fleet/peer_directory.hpp"
+#include "citronloft/policy/busy_bucket.hpp"
 #include "citronloft/policy/demand_shares.hpp"
 #include "citronloft/policy/escrow_bucket.hpp"
 
@@ -107,10 +108,13 @@
     /// @brief Recomputes the holder of each bucket; must be called when the zone's hosts have changed.
     auto assignHolders() -> void;
 
-    /// @param zones number of zones that share the rates.
+    /// @brief Sets the number of zones and hosts that share the rates.
+    auto setFleetSize(const FleetSize& fleet) -> void;
+
+    /// @param shares division of the rates among the hosts.
     /// @return the demand that this host announces for each bucket, in tokens per second. Demand that it directs to
     /// another holder of the zone is announced by that holder.
-    [[nodiscard]] auto demands(std::size_t zones) const -> std::vector<BucketDemand>;
+    [[nodiscard]] auto demands(const DemandShares& shares) const -> std::vector<BucketDemand>;
 
     /// @brief Takes `amount` micro-tokens, or waits for loans until `deadline` at most.
     /// @param done called exactly once, possibly before acquire() returns.
@@ -172,6 +176,8 @@
         double fraction = 0;
         /// True until a fraction has been set.
         bool isNew = true;
+        /// Whether many hosts with few requests each borrow from the bucket's holders; see isBusyBucket().
+        bool isBusy = false;
         std::deque<WaitingRequest> waiting;
         /// Lenders of the current sweep that no request has been sent to.
         std::vector<Lender> remainingLenders;
@@ -180,6 +186,8 @@
         std::size_t pendingRequests = 0;
         TimePoint nextSweepAt {};
         TimePoint exhaustedUntil {};
+        /// Time until which nothing is borrowed ahead for a busy bucket.
+        TimePoint scarceUntil {};
         /// True if tick() has to process the bucket.
         bool isActive = false;
     };
@@ -199,6 +207,10 @@
     };
 
     auto updateDemand(Bucket& bucket, Duration elapsed) const -> void;
+    [[nodiscard]] auto announcedDemand(std::uint64_t id, const Bucket& bucket, const DemandShares& shares) const
+        -> double;
+    [[nodiscard]] auto prefetchedTokens(const Bucket& bucket, TimePoint now) const -> std::int64_t;
+    [[nodiscard]] auto wantedTokens(const Bucket& bucket, TimePoint now) const -> std::int64_t;
     [[nodiscard]] auto tokenDeficit(Bucket& bucket, TimePoint now) const -> std::int64_t;
     auto requestLoans(Bucket& bucket, TimePoint now) -> void;
     auto sendRequests(TimePoint now) -> void;
@@ -233,6 +245,7 @@
     std::unordered_map<std::uint64_t, std::uint64_t> newestSequenceOf;
     /// Lenders that did not answer a loan request, with the time until which none is sent to them.
     std::map<std::uint64_t, TimePoint> unresponsiveUntil;
+    FleetSize fleet;
     std::uint64_t nextSequence = 1;
     std::uint64_t nextId = 1;
     TimePoint lastTickAt {};
--- a/include/citronloft/policy/demand_shares.hpp
+++ b/include/citronloft/policy/demand_shares.hpp
@@ -93,6 +93,15 @@
     /// @return this host's fraction of the bucket, from 0 to 1.
     [[nodiscard]] auto fractionOf(std::uint64_t bucket, double rate) const -> double;
 
+    /// @return demand of this host for a bucket that all others account for, in tokens per second.
+    [[nodiscard]] auto confirmedDemand(std::uint64_t bucket) const -> double
+    {
+        return this->ownDemand.confirmed(bucket);
+    }
+
+    /// @return demand for a bucket that all other hosts and zones have announced, in tokens per second.
+    [[nodiscard]] auto othersDemand(std::uint64_t bucket) const -> double;
+
     /// @return number of hosts in all zones.
     [[nodiscard]] auto hosts() const -> std::size_t;
 
--- a/src/citronloft/fleet/fleet_host.cpp
+++ b/src/citronloft/fleet/fleet_host.cpp
@@ -195,7 +195,8 @@
         this->demandShares.recordHost(host.ip, now);
     auto notice = DemandNotice {};
     this->limiter.assignHolders();
-    notice.demands = this->demandShares.announce(this->limiter.demands(this->zones), now);
+    this->limiter.setFleetSize({ this->zones, this->demandShares.hosts() });
+    notice.demands = this->demandShares.announce(this->limiter.demands(this->demandShares), now);
     notice.unheard = this->demandShares.hostsWithoutRecentReport(now);
     this->sendToZone(std::move(notice));
     if (this->members.isDelegate())
--- a/src/citronloft/fleet/rate_limiter.cpp
+++ b/src/citronloft/fleet/rate_limiter.cpp
@@ -30,6 +30,10 @@
 /// Time for which a lender that did not answer is skipped; a few requests per second detect its return.
 constexpr auto unresponsiveLenderPause = std::chrono::seconds { 1 };
 
+/// Time after a sweep without tokens for which nothing is borrowed ahead for a busy bucket: with tokens for half a
+/// second in the hands of some hosts, others had none for 0.4 s after a surge.
+constexpr auto scarcityPause = std::chrono::seconds { 1 };
+
 auto toTokens(double microTokens) -> double { return microTokens / static_cast<double>(microTokensPerToken); }
 
 /// @param fraction of the bucket, from 0 to 1.
@@ -132,19 +136,40 @@
         bucket->holder = this->peers.zoneHolder(id);
 }
 
-auto RateLimiter::demands(std::size_t zones) const -> std::vector<BucketDemand>
+auto RateLimiter::setFleetSize(const FleetSize& fleet) -> void
+{
+    this->fleet = fleet;
+    for (auto& [id, bucket] : this->buckets) {
+        const auto rate = toTokens(static_cast<double>(bucket->spec.fleetShare.microTokensPerSecond));
+        bucket->isBusy = this->option.dividesByDemand && isBusyBucket(rate, fleet, this->option.demandHorizon);
+    }
+}
+
+auto RateLimiter::demands(const DemandShares& shares) const -> std::vector<BucketDemand>
 {
     auto list = std::vector<BucketDemand> {};
-    const auto idleFraction = this->option.holderFraction / static_cast<double>(std::max<std::size_t>(zones, 1));
     for (const auto& [id, bucket] : this->buckets) {
-        const auto idle = static_cast<double>(bucket->spec.fleetShare.microTokensPerSecond) * idleFraction;
-        const auto demand = bucket->steadyDemand + (bucket->holder ? 0 : idle);
+        const auto demand = this->announcedDemand(id, *bucket, shares);
         if (demand > 0)
-            list.push_back({ id, static_cast<float>(toTokens(demand)) });
+            list.push_back({ id, static_cast<float>(demand) });
     }
     return list;
 }
 
+auto RateLimiter::announcedDemand(std::uint64_t id, const Bucket& bucket, const DemandShares& shares) const -> double
+{
+    const auto measured = toTokens(bucket.steadyDemand);
+    if (bucket.holder)
+        return measured;
+    const auto rate = toTokens(static_cast<double>(bucket.spec.fleetShare.microTokensPerSecond));
+    if (!bucket.isBusy)
+        return measured
+            + rate * this->option.holderFraction / static_cast<double>(std::max<std::size_t>(this->fleet.zones, 1));
+    const auto minted = toTokens(static_cast<double>(bucket.escrow.share().microTokensPerSecond));
+    return announcedHolderDemand(
+        rate, this->fleet.zones, { measured, minted, shares.confirmedDemand(id), shares.othersDemand(id) });
+}
+
 auto RateLimiter::acquire(std::uint64_t bucketId, std::int64_t amount, TimePoint deadline, TimePoint now, Done done)
     -> std::uint64_t
 {
@@ -182,7 +207,7 @@
         [](std::int64_t sum, const WaitingRequest& item) { return sum + item.amount; });
     if (this->option.dividesByDemand && ahead > this->maxBacklog(bucket))
         return false;
-    return now >= bucket.exhaustedUntil || this->isMintedInTime(bucket, ahead, now);
+    return bucket.isBusy || now >= bucket.exhaustedUntil || this->isMintedInTime(bucket, ahead, now);
 }
 
 /// Returns the micro-tokens that the whole fleet mints within the longest wait. Requests beyond this backlog cannot be
@@ -274,7 +299,10 @@
 {
     if (request.isForHolder)
         bucket.zoneDemandSinceTick += amount;
-    const auto expected = (bucket.demand + bucket.zoneDemand) * seconds(this->option.demandHorizon);
+    // The holder of a busy bucket serves its zone's demand from what it mints; it keeps tokens for the rest.
+    const auto minted = bucket.isBusy ? static_cast<double>(bucket.escrow.share().microTokensPerSecond) : 0;
+    const auto expected
+        = std::max(bucket.demand + bucket.zoneDemand - minted, 0.0) * seconds(this->option.demandHorizon);
     const auto keep = request.isForHolder ? 0 : static_cast<std::int64_t>(expected);
     return bucket.escrow.lend(
         amount, keep, { request.borrower, request.sequence }, now + this->terms.loanReservationTime(), now);
@@ -340,11 +368,15 @@
     smooth(bucket.steadyDemand, bucket.holder ? zone : own + zone, elapsed, steadyTimeConstant);
 }
 
-/// Returns the micro-tokens that are missing for the waiting requests and the demand within the horizon.
-auto RateLimiter::tokenDeficit(Bucket& bucket, TimePoint now) const -> std::int64_t
+/// @return the micro-tokens that are kept for demand within the horizon.
+auto RateLimiter::prefetchedTokens(const Bucket& bucket, TimePoint now) const -> std::int64_t
 {
-    const auto waiting = std::accumulate(bucket.waiting.begin(), bucket.waiting.end(), std::int64_t { 0 },
-        [](std::int64_t sum, const WaitingRequest& item) { return sum + item.amount; });
+    if (bucket.isBusy && bucket.holder) {
+        if (now < bucket.scarceUntil)
+            return 0;
+        const auto rate = static_cast<double>(bucket.spec.fleetShare.microTokensPerSecond);
+        return static_cast<std::int64_t>(busyLoanTokens(rate, this->fleet, bucket.demand));
+    }
     const auto demandHorizon = seconds(this->option.demandHorizon);
     const auto minted = static_cast<double>(bucket.escrow.share().microTokensPerSecond) * demandHorizon;
     // No host can serve demand beyond the bucket's fleet-wide rate, so nothing is borrowed for it.
@@ -352,8 +384,25 @@
         = std::min(bucket.demand, static_cast<double>(bucket.spec.fleetShare.microTokensPerSecond)) * demandHorizon;
     const auto ahead = std::max(wanted - minted, 0.0);
     // A deficit of less than one token within the horizon is not worth a message; a request that needs it triggers one.
-    const auto prefetch = ahead < static_cast<double>(microTokensPerToken) ? 0 : static_cast<std::int64_t>(ahead);
-    return waiting + prefetch - bucket.escrow.available(now);
+    return ahead < static_cast<double>(microTokensPerToken) ? 0 : static_cast<std::int64_t>(ahead);
+}
+
+/// @return the micro-tokens for the waiting requests and the demand within the horizon.
+auto RateLimiter::wantedTokens(const Bucket& bucket, TimePoint now) const -> std::int64_t
+{
+    return std::accumulate(bucket.waiting.begin(), bucket.waiting.end(), this->prefetchedTokens(bucket, now),
+        [](std::int64_t sum, const WaitingRequest& item) { return sum + item.amount; });
+}
+
+/// Returns the micro-tokens that are missing for the waiting requests and the demand within the horizon.
+auto RateLimiter::tokenDeficit(Bucket& bucket, TimePoint now) const -> std::int64_t
+{
+    const auto wanted = this->wantedTokens(bucket, now);
+    const auto available = bucket.escrow.available(now);
+    // One loan request of a busy bucket covers several requests.
+    if (bucket.isBusy && bucket.holder && bucket.waiting.empty() && available >= wanted / 2)
+        return 0;
+    return wanted - available;
 }
 
 auto RateLimiter::requestLoans(Bucket& bucket, TimePoint now) -> void
@@ -443,7 +492,7 @@
 
 auto RateLimiter::collectSettlements(Bucket& bucket, TimePoint now) -> void
 {
-    const auto wanted = std::max(this->tokenDeficit(bucket, now) + bucket.escrow.available(now), std::int64_t { 0 });
+    const auto wanted = this->wantedTokens(bucket, now);
     // Up to twice the wanted amount is kept, so that tokens do not move back and forth.
     bucket.escrow.returnBorrowed(wanted * 2, now);
     for (const auto& loan : bucket.escrow.takeSettledLoans(now)) {
@@ -503,7 +552,7 @@
 }
 
 /// Refuses waiting requests past their deadline, and those that cannot be served once every lender has been asked, none
-/// granted tokens and no answer is pending.
+/// granted tokens and no answer is pending; those for a busy bucket wait for another sweep until their deadline.
 auto RateLimiter::refuseUnservable(Bucket& bucket, TimePoint now) -> void
 {
     const auto isSwept = bucket.isSweeping && bucket.remainingLenders.empty() && bucket.pendingRequests == 0;
@@ -514,14 +563,17 @@
     auto ended = std::deque<WaitingRequest> {};
     if (isUnservable) {
         bucket.exhaustedUntil = now + this->option.exhaustedInterval;
-        ended = this->takeUnservable(bucket, now);
+        bucket.scarceUntil = now + scarcityPause;
+        // Lenders of a busy bucket run out of tokens for moments, between the loans of many hosts, or answer late.
+        if (!bucket.isBusy)
+            ended = this->takeUnservable(bucket, now);
     }
     while (!bucket.waiting.empty() && now >= bucket.waiting.front().deadline) {
         ended.push_back(std::move(bucket.waiting.front()));
         bucket.waiting.pop_front();
     }
     for (const auto& waiting : ended)
-        this->refuse(bucket, waiting.done, waiting.amount, !isUnservable, now);
+        this->refuse(bucket, waiting.done, waiting.amount, !isUnservable || bucket.isBusy, now);
 }
 
 auto RateLimiter::refuse(Bucket& bucket, const Done& done, std::int64_t amount, bool hasTimedOut, TimePoint now) -> void
--- a/src/citronloft/policy/demand_shares.cpp
+++ b/src/citronloft/policy/demand_shares.cpp
@@ -159,17 +159,23 @@
     return until;
 }
 
-auto DemandShares::fractionOf(std::uint64_t bucket, double rate) const -> double
+auto DemandShares::othersDemand(std::uint64_t bucket) const -> double
 {
-    const auto hosts = static_cast<double>(this->hosts());
-    const auto even = rate * this->option.evenFraction / hosts;
-    auto sum = this->ownDemand.announced(bucket);
+    auto sum = 0.0;
     for (const auto* list : { &this->hostReporters, &this->zoneReporters }) {
         for (const auto& [name, other] : *list) {
             if (const auto found = other.demands.find(bucket); found != other.demands.end())
                 sum += found->second;
         }
     }
+    return sum;
+}
+
+auto DemandShares::fractionOf(std::uint64_t bucket, double rate) const -> double
+{
+    const auto hosts = static_cast<double>(this->hosts());
+    const auto even = rate * this->option.evenFraction / hosts;
+    const auto sum = this->ownDemand.announced(bucket) + this->othersDemand(bucket);
     const auto total = sum + even * hosts;
     return total > 0 ? (this->ownDemand.confirmed(bucket) + even) / total : 1.0 / hosts;
 }
