--- a/src/citronloft/fleet/busy_team_test.cpp
+++ b/src/citronloft/fleet/busy_team_test.cpp
@@ -207,9 +207,6 @@
     static constexpr auto smallRate = 20.0;
     static constexpr auto usedFraction = 0.6;
     static constexpr auto maxRefusedFraction = 0.001;
-    /// Tokens that the fleet holds at the start of a surge are not all where it arrives, and some are in borrowers'
-    /// hands.
-    static constexpr auto maxRefusedFractionInSurge = 0.05;
     /// Half of the latency objective of the routes.
     static constexpr auto maxWait = 200ms;
 
@@ -274,7 +271,7 @@
     this->load(3s);
     this->takeRefusedFraction("before");
     this->load(4s, 5);
-    EXPECT_LE(this->takeRefusedFraction("five times the demand"), maxRefusedFractionInSurge);
+    EXPECT_LE(this->takeRefusedFraction("five times the demand"), maxRefusedFraction);
     this->load(4s);
     EXPECT_LE(this->takeRefusedFraction("after"), maxRefusedFraction);
     this->expectBound();
--- a/src/citronloft/policy/busy_bucket.cpp
+++ b/src/citronloft/policy/busy_bucket.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// Loan requests per second that a host with 0.07 of a core answers in time besides its other work.
+/// Not measured: between the largest earlier tests (37 per second) and the team in busy_team_test.cpp (181).
 constexpr auto minLoanRequestsPerSecond = 100.0;
 constexpr auto minTokensPerLoan = 4.0;
 /// Half of the validity of a loan, so that few borrowed tokens expire unspent.
