A status outside the protocol ends the exchange wherever it arrives

Cause: the range of the status was checked only for responses that were taken as the answer to the request. On a used connection, a response without id was accepted for repeatable requests if its status was 500 or more (600 to 999 reached the caller) or if it stated that it was not run (000 to 099 counted as a refusal by the target). One with another id, or without id for other requests, was skipped until the deadline. Change: the status is checked before the relation of a response to its request.

--- a/src/citronloft/edge/http_client.cpp
+++ b/src/citronloft/edge/http_client.cpp
@@ -289,12 +289,15 @@
 
     static auto isValid(const HttpResponse& response, const ExchangeOption& option) -> bool
     {
-        const auto isStatusKnown = response.status >= minStatus && response.status <= maxStatus;
-        return isStatusKnown && (!option.isValid || option.isValid(response));
+        return !option.isValid || option.isValid(response);
     }
 
+    /// A status outside the protocol is checked first: neither the id nor the length of such a response can be
+    /// believed, so it is neither an answer without id nor skipped as the answer to another request.
     static auto relationOf(const HttpResponse& response, bool isFirst, const ExchangeOption& option) -> Relation
     {
+        if (response.status < minStatus || response.status > maxStatus)
+            return Relation::Invalid;
         const auto responseId = response.fields.get(option.idField);
         const auto isFirstOfUnknownRequest = isFirst && (responseId.empty() || option.id.empty());
         if (option.idField.empty() || isFirstOfUnknownRequest || (!responseId.empty() && responseId == option.id))
--- a/src/citronloft/edge/target_path_monitor_test.cpp
+++ b/src/citronloft/edge/target_path_monitor_test.cpp
@@ -19,7 +19,7 @@
         boost::asio::yield_context /*yield*/) -> Exchange override
     {
         this->requests.emplace_back(address, request);
-        return { .error = this->isAnswering ? ExchangeError::None : ExchangeError::AnswerTimeout, .response = {} };
+        return { .error = this->isAnswering ? ExchangeError::None : this->failure, .response = {} };
     }
 
     auto connect(const Address& address, TimePoint /*deadline*/, boost::asio::yield_context /*yield*/)
@@ -35,6 +35,8 @@
 
     bool isOpen = true;
     bool isAnswering = true;
+    /// Error of exchanges without an answer.
+    ExchangeError failure = ExchangeError::AnswerTimeout;
     std::set<Address> refusing;
     int connects = 0;
     std::vector<std::pair<Address, HttpRequest>> requests;
@@ -131,6 +133,25 @@
     EXPECT_EQ(this->monitor->state(), PathState::Lost);
 }
 
+/// Guards against a path that is taken as reached because of a health response with a status outside the protocol,
+/// which ends its exchange like this.
+TEST_F(TargetPathMonitorTest, InvalidHealthResponsesDoNotShowThatThePathIsReached)
+{
+    for (const auto failure : { ExchangeError::AnswerInvalid, ExchangeError::AnswerCut }) {
+        this->client->isAnswering = true;
+        this->monitor->recordEnd("127.0.0.1:1", { .response = {}, .sent = true, .reused = true }, this->clock.now());
+        this->run(5s);
+        ASSERT_EQ(this->monitor->state(), PathState::Reached);
+        this->client->isAnswering = false;
+        this->client->failure = failure;
+        this->client->requests.clear();
+        this->loseRequests();
+        this->run(2s);
+        EXPECT_FALSE(this->client->requests.empty());
+        EXPECT_EQ(this->monitor->state(), PathState::Lost);
+    }
+}
+
 TEST_F(TargetPathMonitorTest, PausedTargetsGetNoHealthRequests)
 {
     this->client->isAnswering = false;
--- a/tests/fakes/cut_http_client.hpp
+++ b/tests/fakes/cut_http_client.hpp
@@ -47,7 +47,9 @@
         const auto hasConnection = this->client->openConnections(address) > 0;
         const auto isCut = this->cut != ConnectionCut::None && this->cutAddresses.contains(address);
         if (!isCut || (this->cut == ConnectionCut::RefuseNew && hasConnection)) {
-            auto result = this->client->exchange(address, request, option, yield);
+            const auto redirect = this->redirects.find(address);
+            const auto& actual = redirect == this->redirects.end() ? address : redirect->second;
+            auto result = this->client->exchange(actual, request, option, yield);
             // Answers that arrive after the start of the cut are lost with their connections.
             const auto isLost = this->cutAddresses.contains(address)
                 && (this->cut == ConnectionCut::Hang || this->cut == ConnectionCut::Reset);
@@ -91,6 +93,8 @@
     std::map<Address, int> exchangeCounts;
     /// Time that passes before a request to an address is sent, as when opening its connection takes long.
     std::map<Address, Duration> startDelays;
+    /// Addresses whose requests are sent to another address instead.
+    std::map<Address, Address> redirects;
 
 private:
     /// Timeouts of connections to targets: without an acknowledgement, and until they are established.
