citronloft explain shows where a host would send a request now, and why

Cause: an operator could not ask where a request would be routed, and which targets are skipped for which reason. Change: POST /explain on the status port and a command of the tool. Gateway::explain() and TargetPool::explain() are const and share checks, ranking and choice with the real path (checkCaller, exclusionReason, addRanked, chooseRanked). RateLimiter::state() reads a copy of the bucket, so that it mints no tokens and ends no loans. The pool of a split is now chosen after a request's checks, so that refused requests take no random number. Exit code 8: would be refused.

--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -19,6 +19,7 @@
 #include "citronloft/edge/http_client.hpp"
 #include "citronloft/edge/lookup_service.hpp"
 #include "citronloft/edge/pool_admission.hpp"
+#include "citronloft/edge/request_explanation.hpp"
 #include "citronloft/edge/response_field_log.hpp"
 #include "citronloft/edge/spill_router.hpp"
 #include "citronloft/edge/target_path_monitor.hpp"
@@ -108,6 +109,9 @@
     /// @brief Handles one request.
     auto handle(HttpRequest& request, CallerContext& caller, boost::asio::yield_context yield) -> HttpResponse;
 
+    /// @brief Determines where a caller's request would be sent now, and why, without sending it or changing any state.
+    [[nodiscard]] auto explain(const HttpRequest& request) const -> RequestExplanation;
+
     /// @brief Rebuilds the lookup responses immediately; to be called when this host's own state has changed.
     auto refreshLookups() -> void { this->lookup.refresh(this->clock.now()); }
 
@@ -167,6 +171,11 @@
     auto answerLookup(const HttpRequest& request, const CallerContext& caller) -> HttpResponse;
     auto dispatch(HttpRequest& request, CallerContext& caller, boost::asio::yield_context yield) -> CallResult;
     auto handleCaller(Call& call, boost::asio::yield_context yield) -> CallResult;
+    [[nodiscard]] auto checkRequest(const HttpRequest& request) const -> ResultCode;
+    auto checkCaller(Call& call) const -> ResultCode;
+    [[nodiscard]] auto explainRate(const Call& call) const -> std::optional<ExplainedRate>;
+    auto explainPools(const Call& call, RequestExplanation& explanation) const -> void;
+    [[nodiscard]] auto explainPool(const Call& call, const PoolWeight& part) const -> ExplainedPool;
     auto handleSpilled(Call& call, boost::asio::yield_context yield) -> CallResult;
     auto authorize(Call& call) const -> ResultCode;
     auto publishLoads(TimePoint now) -> void;
@@ -178,6 +187,7 @@
     auto recordLatency(const Call& call, Duration latency) -> void;
     [[nodiscard]] auto slotRequestOf(const Call& call, const TargetRequirements& requirements) const -> SlotRequest;
     auto requirementsOf(const Call& call) -> TargetRequirements;
+    [[nodiscard]] auto fixedRequirementsOf(const Call& call) const -> TargetRequirements;
     auto setDeadline(Call& call) const -> void;
     auto admitRate(const Call& call, boost::asio::yield_context yield) -> RateDecision;
     [[nodiscard]] auto outlastsHost(const Call& call) const -> bool;
--- a/include/citronloft/fleet/rate_limiter.hpp
+++ b/include/citronloft/fleet/rate_limiter.hpp
@@ -138,8 +138,8 @@
     /// @return micro-tokens of a bucket that are available now.
     auto available(std::uint64_t bucket, TimePoint now) -> std::int64_t;
 
-    /// @return the state of a bucket; all zero if the bucket does not exist.
-    auto state(std::uint64_t bucket, TimePoint now) -> RateState;
+    /// @return the state of a bucket, which is not changed; all zero if the bucket does not exist.
+    [[nodiscard]] auto state(std::uint64_t bucket, TimePoint now) const -> RateState;
 
 private:
     struct WaitingRequest {
--- a/include/citronloft/policy/target_pool.hpp
+++ b/include/citronloft/policy/target_pool.hpp
@@ -17,6 +17,7 @@
 #include "citronloft/policy/announced_limit.hpp"
 #include "citronloft/policy/live_target.hpp"
 #include "citronloft/policy/request_pacer.hpp"
+#include "citronloft/policy/target_choice.hpp"
 #include "citronloft/policy/target_health.hpp"
 #include "citronloft/policy/target_load.hpp"
 #include "citronloft/policy/target_statement_registry.hpp"
@@ -161,6 +162,11 @@
     /// @brief Chooses a target that meets the requirements and counts the request as in flight there.
     auto acquireFor(const TargetRequirements& requirements, TimePoint now) -> std::optional<std::string>;
 
+    /// @brief Determines where a request would be sent now, without a change of any target's state.
+    /// @param order how targets are chosen for requests without an object.
+    [[nodiscard]] auto explain(const TargetRequirements& requirements, TargetOrder order, TimePoint now) const
+        -> TargetChoice;
+
     /// @brief Records the end of a request.
     auto release(const std::string& key, TargetResult result, Duration latency, TimePoint now) -> void;
 
@@ -284,13 +290,25 @@
     struct Scored {
         double score = 0;
         double load = 0;
-        Member* member = nullptr;
+        /// Index into `members`.
+        std::size_t member = 0;
     };
 
     auto find(const std::string& key) -> Member*;
     [[nodiscard]] auto find(const std::string& key) const -> const Member*;
     auto chooseLessLoadedOfTwo(const TargetRequirements& requirements, TimePoint now) -> Member*;
     auto chooseByObject(const TargetRequirements& requirements, std::uint64_t object, TimePoint now) -> Member*;
+    [[nodiscard]] static auto scoreOf(const Member& member, std::uint64_t object) -> double;
+    auto addRanked(std::vector<Scored>& best, std::size_t index, std::uint64_t object, TimePoint now) const -> void;
+    [[nodiscard]] auto chooseRanked(const std::vector<Scored>& best) const -> const Scored*;
+    [[nodiscard]] auto exclusionReason(
+        const Member& member, const TargetRequirements& requirements, TimePoint now) const -> SkipReason;
+    [[nodiscard]] auto refusalReason(const Member& member, TimePoint now) const -> SkipReason;
+    [[nodiscard]] auto skipReason(const Member& member, const TargetRequirements& requirements, TimePoint now) const
+        -> SkipReason;
+    [[nodiscard]] auto describe(const Member& member, SkipReason reason, TimePoint now) const -> ExplainedTarget;
+    auto explainByObject(TargetChoice& choice, std::uint64_t object, TimePoint now) const -> void;
+    auto explainSpread(TargetChoice& choice, TargetOrder order, TimePoint now) const -> void;
     auto startRequest(Member& member, TimePoint now) -> std::string;
     [[nodiscard]] static auto hashOf(const std::string& key) -> std::uint64_t;
     auto recordDepartedLimit(const std::string& key, std::optional<double> perSecond, TimePoint sentAt, TimePoint now)
--- a/programs/citronloft/commands.hpp
+++ b/programs/citronloft/commands.hpp
@@ -26,6 +26,7 @@
 auto runApply(Tool& tool) -> ExitCode;
 auto runGet(Tool& tool) -> ExitCode;
 auto runStatus(Tool& tool) -> ExitCode;
+auto runExplain(Tool& tool) -> ExitCode;
 auto runKey(Tool& tool) -> ExitCode;
 auto runDrain(Tool& tool) -> ExitCode;
 auto runVersion(Tool& tool) -> ExitCode;
--- a/programs/citronloft/main.cpp
+++ b/programs/citronloft/main.cpp
@@ -22,6 +22,7 @@
     { "apply", "FILE", "apply a configuration file atomically", &runApply },
     { "get", "", "print the active configuration", &runGet },
     { "status", "", "print state, configuration version and lease of every host", &runStatus },
+    { "explain", "METHOD URL", "show where a host would send such a request now, and why", &runExplain },
     { "key", "new|withdraw", "add a new team key to a file, or remove one from it", &runKey },
     { "drain", "TARGET|ZONE", "mark a target, zone or (--host) host in a file as draining; --undo removes the mark",
         &runDrain },
@@ -40,7 +41,8 @@
         << "\n"
         << options << "\n"
         << "Exit codes: 0 success, 1 failed, 2 usage, 3 invalid file, 4 conflict, 5 not accepted,\n"
-        << "6 unknown whether accepted, 7 accepted but not active on all hosts before the timeout.\n\n"
+        << "6 unknown whether accepted, 7 accepted but not active on all hosts before the timeout,\n"
+        << "8 the explained request would be refused.\n\n"
         << "Example: citronloft apply waitaha.yaml --platform 127.0.0.1:7000 --wait --status-from 127.0.0.2:8090\n";
 }
 
@@ -57,7 +59,8 @@
         "wait", po::bool_switch(&tool.waitsUntilActive), "wait until the change is active on all live hosts")(
         "wait-ms", po::value<std::int64_t>(), "maximum time of --wait in milliseconds")(
         "undo", po::bool_switch(&tool.removesDrain), "remove the draining mark")(
-        "host", po::bool_switch(&tool.drainsHost), "drain an entry host, given by its service address")(
+        "host", po::bool_switch(&tool.drainsHost), "drain an entry host, given by its service address")("header",
+        po::value(&tool.headers)->composing(), "header field \"Name: value\" of the explained request; repeatable")(
         "json", po::bool_switch(&tool.json), "print JSON")("help", "print this help");
     return options;
 }
@@ -110,10 +113,10 @@
     auto names = std::string {};
     for (const auto& command : commandTable())
         names += std::string { command.name } + " ";
-    std::cout
-        << "complete -o default -W '" << names
-        << "--platform --status-from --file --team --operator --summary --expect --wait --undo --host --json --help' "
-           "citronloft\n";
+    std::cout << "complete -o default -W '" << names
+              << "--platform --status-from --file --team --operator --summary --expect --wait --undo --host --header "
+                 "--json --help' "
+                 "citronloft\n";
     return ExitCode::Ok;
 }
 
--- a/programs/citronloft/tool.hpp
+++ b/programs/citronloft/tool.hpp
@@ -28,6 +28,7 @@
     NotAccepted = 5,
     Unknown = 6,
     NotActive = 7,
+    Refused = 8,
 };
 
 /// @brief Options and connections of one invocation.
@@ -39,6 +40,8 @@
     std::string statusFrom;
     std::string operatorName;
     std::string summary;
+    /// Header fields of the request to be explained, as "Name: value".
+    std::vector<std::string> headers;
     std::optional<std::uint64_t> expectedVersion;
     std::chrono::milliseconds waitTimeout { 30'000 };
     bool json = false;
--- a/programs/citronloftd/host.hpp
+++ b/programs/citronloftd/host.hpp
@@ -67,6 +67,7 @@
     [[nodiscard]] auto isDrained() const -> bool;
     [[nodiscard]] auto handleReady() const -> HttpResponse;
     auto handleStatus(const HttpRequest& request) -> HttpResponse;
+    [[nodiscard]] auto handleExplain(const HttpRequest& request) const -> HttpResponse;
     [[nodiscard]] auto statusBody() const -> std::string;
 
     boost::asio::io_context& context;
--- a/programs/citronloftd/host_status.cpp
+++ b/programs/citronloftd/host_status.cpp
@@ -7,6 +7,23 @@
 
 namespace citronloft {
 
+auto Host::handleExplain(const HttpRequest& request) const -> HttpResponse
+{
+    auto response = HttpResponse {};
+    response.fields.set("Content-Type", "application/json");
+    // The body may contain a key, which must not get into logs as part of a path.
+    const auto explained = request.method == "POST"
+        ? parseExplainedRequest(request.body)
+        : absl::StatusOr<HttpRequest>(absl::InvalidArgumentError("expected POST with a JSON object"));
+    if (explained.ok()) {
+        response.body = formatExplanation(this->gateway->explain(*explained));
+        return response;
+    }
+    response.status = request.method == "POST" ? 400 : 405;
+    response.body = nlohmann::json { { "error", explained.status().message() } }.dump();
+    return response;
+}
+
 auto Host::handleStatus(const HttpRequest& request) -> HttpResponse
 {
     auto response = HttpResponse {};
@@ -16,6 +33,8 @@
     if (path == "/healthz") {
         response = this->handleReady();
         response.body = nlohmann::json { { "state", hostStateName(state) } }.dump();
+    } else if (path == "/explain") {
+        return this->handleExplain(request);
     } else if (path == "/status") {
         response.body = this->statusBody();
     } else if (path == "/metrics") {
--- a/src/citronloft/edge/gateway.cpp
+++ b/src/citronloft/edge/gateway.cpp
@@ -145,12 +145,8 @@
         return { ResultCode::LookupAnswered, std::move(answer), {} };
     }
     this->lastRequestTime = this->clock.now();
-    if (!this->snapshot)
-        return { ResultCode::NoConfiguration, {}, busyRetryAfter };
-    if (request.method == "CONNECT" || request.method == "TRACE")
-        return { ResultCode::MethodUnsupported, {}, {} };
-    if (isAmbiguousPath(request.target))
-        return { ResultCode::MalformedRequest, {}, {} };
+    if (const auto code = this->checkRequest(request); code != ResultCode::Answered)
+        return { code, {}, code == ResultCode::NoConfiguration ? busyRetryAfter : Duration {} };
     auto call = Call {};
     call.snapshot = this->snapshot;
     call.request = &request;
@@ -161,21 +157,38 @@
     return call.isSpilled ? this->handleSpilled(call, yield) : this->handleCaller(call, yield);
 }
 
-auto Gateway::handleCaller(Call& call, boost::asio::yield_context yield) -> CallResult
+/// Returns why a request is refused regardless of its route, or Answered.
+auto Gateway::checkRequest(const HttpRequest& request) const -> ResultCode
+{
+    if (!this->snapshot)
+        return ResultCode::NoConfiguration;
+    if (request.method == "CONNECT" || request.method == "TRACE")
+        return ResultCode::MethodUnsupported;
+    return isAmbiguousPath(request.target) ? ResultCode::MalformedRequest : ResultCode::Answered;
+}
+
+/// Determines route, team and deadline of a caller's request.
+/// @return why the request is refused before it is counted against any rate, or Answered.
+auto Gateway::checkCaller(Call& call) const -> ResultCode
 {
     call.route
         = call.snapshot->routes.find(call.request->method, call.request->fields.get("Host"), call.request->target);
     if (call.route == nullptr)
-        return { ResultCode::RouteUnknown, {}, {} };
+        return ResultCode::RouteUnknown;
     call.maxAttempts = call.route->attempts;
-    this->choosePool(call);
     if (const auto code = this->authorize(call); code != ResultCode::Answered)
-        return { code, {}, {} };
+        return code;
     if (this->isQuarantined(call))
-        return { ResultCode::RequestQuarantined, {}, {} };
+        return ResultCode::RequestQuarantined;
     this->setDeadline(call);
-    if (this->outlastsHost(call))
-        return { ResultCode::HostLeaving, {}, leavingRetryAfter };
+    return this->outlastsHost(call) ? ResultCode::HostLeaving : ResultCode::Answered;
+}
+
+auto Gateway::handleCaller(Call& call, boost::asio::yield_context yield) -> CallResult
+{
+    if (const auto code = this->checkCaller(call); code != ResultCode::Answered)
+        return { code, {}, code == ResultCode::HostLeaving ? leavingRetryAfter : Duration {} };
+    this->choosePool(call);
     const auto rate = this->admitRate(call, yield);
     if (!rate.admitted)
         return { ResultCode::RateExceeded, {}, rate.retryAfter };
--- a/src/citronloft/edge/gateway_targets.cpp
+++ b/src/citronloft/edge/gateway_targets.cpp
@@ -126,13 +126,22 @@
 /// Returns what a call requires of its target. Requests for the same sticky object get the same hash; other requests
 /// get a random one, so that they are spread by the same weights.
 auto Gateway::requirementsOf(const Call& call) -> TargetRequirements
+{
+    auto requirements = this->fixedRequirementsOf(call);
+    if (this->option.discoversTargets && !requirements.object)
+        requirements.object = randomHash(this->random);
+    return requirements;
+}
+
+/// Returns what a call requires of its target, without an object for requests that are spread at random.
+auto Gateway::fixedRequirementsOf(const Call& call) const -> TargetRequirements
 {
     auto requirements = TargetRequirements {};
     if (!this->option.discoversTargets)
         return requirements;
     const auto name = std::string { call.fields.object };
-    const auto hasObject = call.route->sticky && !name.empty();
-    requirements.object = hasObject ? bucketId(call.pool + "/" + name) : randomHash(this->random);
+    if (call.route->sticky && !name.empty())
+        requirements.object = bucketId(call.pool + "/" + name);
     requirements.regions
         = intersectRegions(call.route->homeRegions, call.team == nullptr ? allRegions : call.team->homeRegions);
     return requirements;
--- a/src/citronloft/fleet/rate_limiter.cpp
+++ b/src/citronloft/fleet/rate_limiter.cpp
@@ -318,14 +318,16 @@
     return found == nullptr ? 0 : found->escrow.available(now);
 }
 
-auto RateLimiter::state(std::uint64_t bucket, TimePoint now) -> RateState
+auto RateLimiter::state(std::uint64_t bucket, TimePoint now) const -> RateState
 {
-    auto* found = this->find(bucket);
-    if (found == nullptr)
+    const auto found = this->buckets.find(bucket);
+    if (found == this->buckets.end())
         return {};
-    return { toTokens(static_cast<double>(found->spec.fleetShare.microTokensPerSecond)),
-        toTokens(static_cast<double>(found->escrow.share().microTokensPerSecond)),
-        toTokens(static_cast<double>(found->escrow.available(now))) };
+    // Reading the tokens of a bucket mints those that are due and ends loans, so that a copy is read.
+    auto escrow = found->second->escrow;
+    return { toTokens(static_cast<double>(found->second->spec.fleetShare.microTokensPerSecond)),
+        toTokens(static_cast<double>(escrow.share().microTokensPerSecond)),
+        toTokens(static_cast<double>(escrow.available(now))) };
 }
 
 auto RateLimiter::updateDemand(Bucket& bucket, Duration elapsed) const -> void
--- a/src/citronloft/policy/target_pool.cpp
+++ b/src/citronloft/policy/target_pool.cpp
@@ -134,28 +134,46 @@
 {
     auto& best = this->scored;
     best.clear();
-    const auto byScore = [](const Scored& left, const Scored& right) { return left.score > right.score; };
-    for (auto& member : this->members) {
-        if (!this->isEligible(member, requirements, now))
-            continue;
-        const auto score = rendezvousScore(member.hash, object, member.live.weight);
-        if (best.size() == this->option.targetsPerObject && score <= best.back().score)
-            continue;
-        const auto position = std::ranges::upper_bound(best, Scored { score, 0, nullptr }, byScore);
-        best.insert(position, { score, this->loadOf(member, now), &member });
-        if (best.size() > this->option.targetsPerObject)
-            best.pop_back();
+    for (auto index = std::size_t { 0 }; index < this->members.size(); ++index) {
+        if (this->isEligible(this->members[index], requirements, now))
+            this->addRanked(best, index, object, now);
     }
+    const auto* chosen = this->chooseRanked(best);
+    return chosen == nullptr ? nullptr : &this->members[chosen->member];
+}
+
+auto TargetPool::scoreOf(const Member& member, std::uint64_t object) -> double
+{
+    return rendezvousScore(member.hash, object, member.live.weight);
+}
+
+/// Adds a target to the best ones of an object if it is among them.
+auto TargetPool::addRanked(std::vector<Scored>& best, std::size_t index, std::uint64_t object, TimePoint now) const
+    -> void
+{
+    const auto byScore = [](const Scored& left, const Scored& right) { return left.score > right.score; };
+    const auto& member = this->members[index];
+    const auto score = scoreOf(member, object);
+    if (best.size() == this->option.targetsPerObject && score <= best.back().score)
+        return;
+    const auto position = std::ranges::upper_bound(best, Scored { score, 0, 0 }, byScore);
+    best.insert(position, { score, this->loadOf(member, now), index });
+    if (best.size() > this->option.targetsPerObject)
+        best.pop_back();
+}
+
+auto TargetPool::chooseRanked(const std::vector<Scored>& best) const -> const Scored*
+{
     if (best.empty())
         return nullptr;
     const auto& first = best.front();
     if (first.load < this->option.primaryMaxLoad)
-        return first.member;
+        return &first;
     const auto alternative = std::find_if(best.begin() + 1, best.end(),
         [this](const Scored& item) { return item.load < this->option.alternativeMaxLoad; });
     if (alternative != best.end())
-        return alternative->member;
-    return first.load < 1 + this->option.maxTargetQueueFraction ? first.member : nullptr;
+        return &*alternative;
+    return first.load < 1 + this->option.maxTargetQueueFraction ? &first : nullptr;
 }
 
 auto TargetPool::startRequest(Member& member, TimePoint now) -> std::string
@@ -169,12 +187,7 @@
 auto TargetPool::isEligible(Member& member, const TargetRequirements& requirements, TimePoint now) -> bool
 {
     this->endEjection(member, now);
-    if (!this->acceptsRequests(member, now))
-        return false;
-    if (std::ranges::find(requirements.avoid, member.key) != requirements.avoid.end())
-        return false;
-    const auto& regions = requirements.regions;
-    if (!regions.empty() && std::ranges::find(regions, member.live.region) == regions.end())
+    if (this->exclusionReason(member, requirements, now) != SkipReason::None)
         return false;
     if (!this->isRateLimited(member, now))
         return true;
