--- a/src/citronloft/policy/target_pool.cpp
+++ b/src/citronloft/policy/target_pool.cpp
@@ -102,7 +102,7 @@
 
 auto TargetPool::acquireFor(const TargetRequirements& requirements, TimePoint now) -> std::optional<std::string>
 {
-    auto* chosen = requirements.object ? this->chooseByObject(requirements, *requirements.object, now)
+    auto* chosen = requirements.object ? this->chooseByObject(requirements, now)
                                        : this->chooseLessLoadedOfTwo(requirements, now);
     if (chosen == nullptr && !requirements.object && !requirements.avoid.empty()) {
         auto withoutAvoidance = requirements;
@@ -130,34 +130,55 @@
 }
 
 /// Chooses the object's first target, unless its load is high and that of another of the object's targets is low.
-auto TargetPool::chooseByObject(const TargetRequirements& requirements, std::uint64_t object, TimePoint now) -> Member*
+auto TargetPool::chooseByObject(const TargetRequirements& requirements, TimePoint now) -> Member*
 {
     auto& best = this->scored;
     best.clear();
-    const auto isPlacedFleetWide = requirements.placement == Placement::Fleet;
-    const auto byScore = [](const Scored& left, const Scored& right) { return left.score > right.score; };
-    for (auto& member : this->members) {
-        if (!this->isEligible(member, requirements, now))
-            continue;
-        const auto weight = isPlacedFleetWide ? member.live.fleetWeight : member.live.weight;
-        const auto score = rendezvousScore(member.hash, object, weight);
-        if (best.size() == this->option.targetsPerObject && score <= best.back().score)
-            continue;
-        const auto position = std::ranges::upper_bound(best, Scored { score, 0, nullptr }, byScore);
-        best.insert(position, { score, this->loadOf(member, now), &member });
-        if (best.size() > this->option.targetsPerObject)
-            best.pop_back();
+    for (auto index = std::size_t { 0 }; index < this->members.size(); ++index) {
+        if (this->isEligible(this->members[index], requirements, now))
+            this->addRanked(best, index, requirements, now);
     }
+    const auto* chosen = this->chooseRanked(best);
+    return chosen == nullptr ? nullptr : &this->members[chosen->member];
+}
+
+auto TargetPool::weightOf(const Member& member, Placement placement) -> double
+{
+    return placement == Placement::Fleet ? member.live.fleetWeight : member.live.weight;
+}
+
+auto TargetPool::scoreOf(const Member& member, const TargetRequirements& requirements) -> double
+{
+    return rendezvousScore(member.hash, *requirements.object, weightOf(member, requirements.placement));
+}
+
+/// Adds a target to the best ones of an object if it is among them.
+auto TargetPool::addRanked(
+    std::vector<Scored>& best, std::size_t index, const TargetRequirements& requirements, TimePoint now) const -> void
+{
+    const auto byScore = [](const Scored& left, const Scored& right) { return left.score > right.score; };
+    const auto& member = this->members[index];
+    const auto score = scoreOf(member, requirements);
+    if (best.size() == this->option.targetsPerObject && score <= best.back().score)
+        return;
+    const auto position = std::ranges::upper_bound(best, Scored { score, 0, 0 }, byScore);
+    best.insert(position, { score, this->loadOf(member, now), index });
+    if (best.size() > this->option.targetsPerObject)
+        best.pop_back();
+}
+
+auto TargetPool::chooseRanked(const std::vector<Scored>& best) const -> const Scored*
+{
     if (best.empty())
         return nullptr;
     const auto& first = best.front();
     if (first.load < this->option.primaryMaxLoad)
-        return first.member;
+        return &first;
     const auto alternative = std::find_if(best.begin() + 1, best.end(),
         [this](const Scored& item) { return item.load < this->option.alternativeMaxLoad; });
     if (alternative != best.end())
-        return alternative->member;
-    return first.load < 1 + this->option.maxTargetQueueFraction ? first.member : nullptr;
+        return &*alternative;
+    return first.load < 1 + this->option.maxTargetQueueFraction ? &first : nullptr;
 }
 
 auto TargetPool::startRequest(Member& member, TimePoint now) -> std::string
@@ -171,12 +192,7 @@
 auto TargetPool::isEligible(Member& member, const TargetRequirements& requirements, TimePoint now) -> bool
 {
     this->endEjection(member, now);
-    if (!this->acceptsRequests(member, now))
-        return false;
-    if (std::ranges::find(requirements.avoid, member.key) != requirements.avoid.end())
-        return false;
-    const auto& regions = requirements.regions;
-    if (!regions.empty() && std::ranges::find(regions, member.live.region) == regions.end())
+    if (this->exclusionReason(member, requirements, now) != SkipReason::None)
         return false;
     if (!this->isRateLimited(member, now))
         return true;
--- a/src/citronloft/policy/target_weights_test.cpp
+++ b/src/citronloft/policy/target_weights_test.cpp
@@ -184,8 +184,11 @@
     large.hasLargeBodies = true;
     auto urgent = small;
     urgent.objective = 250ms;
-    EXPECT_FALSE(statesLargeBodies(Config { .routes = { small, urgent } }));
-    EXPECT_TRUE(statesLargeBodies(Config { .routes = { small, large } }));
+    auto config = Config {};
+    config.routes = { small, urgent };
+    EXPECT_FALSE(statesLargeBodies(config));
+    config.routes.push_back(large);
+    EXPECT_TRUE(statesLargeBodies(config));
     EXPECT_EQ(placementOf(small, true, Placement::Fleet), Placement::Fleet);
     EXPECT_EQ(placementOf(small, false, Placement::Fleet), Placement::Zone);
     EXPECT_EQ(placementOf(large, true, Placement::Fleet), Placement::Zone);
