--- a/include/citronloft/base/host_settings.hpp
+++ b/include/citronloft/base/host_settings.hpp
@@ -35,6 +35,8 @@
     std::chrono::milliseconds lookupTtl { 3000 };
     /// Memory that the host may use, in megabytes; 0 does not bound the bodies of messages.
     double memoryMb = 0;
+    /// File descriptors that the host may have open; 0: the limit of the process applies.
+    std::uint32_t maxFds = 0;
     /// Maximum duration of a planned stop.
     std::chrono::milliseconds maxStopDuration { 60'000 };
     /// Limit on retries, summed over all hosts: a fraction of the first attempts, plus a number of further retries
--- a/src/citronloft/base/config_test.cpp
+++ b/src/citronloft/base/config_test.cpp
@@ -237,9 +237,11 @@
     const auto good = std::string { "ip: 10.0.0.1\nzone: z\nplatform: 10.0.0.9:1\nfleet_secret: sixteen-characters\n" };
     EXPECT_TRUE(readHostSettings(good).settings);
     for (const auto* bad : { "servce_port: 1\n", "service_port: 70000\n", "seeds: [x]\n", "log: { level: loud }\n",
-             "queue: lifo\n", "log: 5\n" })
+             "queue: lifo\n", "log: 5\n", "max_fds: 5\n", "max_fds: -1\n" })
         EXPECT_FALSE(readHostSettings(good + bad).settings) << bad;
     EXPECT_EQ(readHostSettings("zone: z\n").faults.size(), 4U);
+    EXPECT_EQ(readHostSettings(good).settings->maxFds, 0U);
+    EXPECT_EQ(readHostSettings(good + "max_fds: 2870\n").settings->maxFds, 2870U);
 }
 
 TEST(ResultCodes, AreNumberedInOrderAndDocumented)
--- a/src/citronloft/base/host_settings.cpp
+++ b/src/citronloft/base/host_settings.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr auto minSecretLength = std::size_t { 16 };
+/// Below this, the host's own sockets, log and connections to targets leave nothing for callers.
+constexpr auto minFds = std::int64_t { 32 };
 
 auto readAddress(YamlReader& reader, std::string_view field, Address& address) -> void
 {
@@ -87,6 +89,18 @@
         reader.fault(field, "must be from 0 to " + std::to_string(max));
 }
 
+auto readMaxFds(YamlReader& reader, std::uint32_t& maxFds) -> void
+{
+    constexpr auto max = std::int64_t { 10'000'000 };
+    auto number = std::int64_t { maxFds };
+    if (!reader.optional("max_fds", number))
+        return;
+    if (number != 0 && (number < minFds || number > max))
+        reader.fault("max_fds", "must be 0, or from " + std::to_string(minFds) + " to 10000000");
+    else
+        maxFds = static_cast<std::uint32_t>(number);
+}
+
 auto readZones(YamlReader& reader, std::map<std::string, std::string>& regionOfZone) -> void
 {
     const auto node = reader.child("zones");
@@ -145,6 +159,7 @@
     readSeconds(reader, "lookup_ttl_s", settings.lookupTtl);
     readSeconds(reader, "stop_time_s", settings.maxStopDuration);
     readNonNegative(reader, "memory_mb", settings.memoryMb, 1e6);
+    readMaxFds(reader, settings.maxFds);
     readNonNegative(reader, "retry_ratio", settings.retryRatio, 10);
     readNonNegative(reader, "retry_slack", settings.retrySlack, 1e6);
     readNonNegative(reader, "rate_overage", settings.rateOverage, 10);
