One memory budget for everything that callers' connections make a host hold

Cause: header fields, requests read ahead, unwritten responses and connections were not bounded at any port, bodies only at the service port.

Change: ConnectionBudget (policy/, no I/O), shared by all HTTP ports of a host, grants or refuses growth and closes connections that wait for their caller. Limit on connections from max_fds.

--- a/include/citronloft/edge/body_memory.hpp
+++ b/include/citronloft/edge/body_memory.hpp
@@ -3,28 +3,18 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 
+#include "citronloft/policy/connection_budget.hpp"
+
 namespace citronloft {
 
 /// @brief Memory for message bodies, shared by all connections that hold a reservation of it.
-class BodyMemory {
-public:
-    /// @param limitBytes maximum sum of the reservations.
-    explicit BodyMemory(std::size_t limitBytes)
-        : limitBytes(limitBytes)
-    {
-    }
+using BodyMemory = ConnectionBudget;
 
-    [[nodiscard]] auto usedBytes() const -> std::size_t { return this->used; }
-    [[nodiscard]] auto limit() const -> std::size_t { return this->limitBytes; }
-
-private:
-    friend class BodyReservation;
-
-    std::size_t limitBytes;
-    std::size_t used = 0;
-};
+/// @brief Whose body it is: responses may use memory that requests may not.
+enum class BodyKind : std::uint8_t { Request, Response };
 
 /// @brief The memory that one message's body takes; it is returned when the reservation is destroyed.
 class BodyReservation {
@@ -33,8 +23,9 @@
     static constexpr auto uncountedBytes = std::size_t { 16 } * 1024;
 
     /// @param memory null: nothing is bounded.
-    explicit BodyReservation(std::shared_ptr<BodyMemory> memory)
+    explicit BodyReservation(std::shared_ptr<BodyMemory> memory, BodyKind kind = BodyKind::Response)
         : memory(std::move(memory))
+        , kind(kind)
     {
     }
     ~BodyReservation() { this->resize(0); }
@@ -45,8 +36,12 @@
     /// @return whether there is room for it; if not, the reservation does not change.
     auto resize(std::size_t bodyBytes) -> bool;
 
+    /// @return the memory that is counted.
+    [[nodiscard]] auto bytes() const -> std::size_t { return this->reserved; }
+
 private:
     std::shared_ptr<BodyMemory> memory;
+    BodyKind kind;
     std::size_t reserved = 0;
 };
 
--- a/include/citronloft/edge/http_server.hpp
+++ b/include/citronloft/edge/http_server.hpp
@@ -66,6 +66,8 @@
     std::uint64_t bodyLimitBytes = 1024 * 1024;
     /// Memory for the bodies of all requests together; null does not bound it.
     std::shared_ptr<BodyMemory> bodyMemory {};
+    /// Budget for what connections hold beside counted bodies, and for their number; null does not bound them.
+    std::shared_ptr<ConnectionBudget> connectionBudget {};
     std::chrono::milliseconds idleTimeout { 60'000 };
     /// Maximum time from the first to the last byte of a request.
     std::chrono::milliseconds requestTimeout { 10'000 };
--- a/programs/citronloftd/components.cpp
+++ b/programs/citronloftd/components.cpp
@@ -78,6 +78,7 @@
 {
     auto option = HttpServerOption {};
     option.bodyMemory = this->host.bodyMemory;
+    option.connectionBudget = this->host.connectionBudget;
     option.onRefusal = [this](ResultCode code) {
         const auto label = "code=\"" + std::string { resultInfo(code).name } + "\"";
         this->host.metrics.count("citronloft_results_total", label);
@@ -111,7 +112,10 @@
 {
     const auto handle = [this](const HttpRequest& request, const CallerContext& caller,
                             const boost::asio::yield_context&) { return this->handler(request, caller); };
-    auto created = makeHttpServer(this->host.context, { this->host.settings.ip, this->port }, handle);
+    auto option = HttpServerOption {};
+    option.bodyMemory = this->host.bodyMemory;
+    option.connectionBudget = this->host.connectionBudget;
+    auto created = makeHttpServer(this->host.context, { this->host.settings.ip, this->port }, handle, option);
     if (!created.ok() && !this->isRequired) {
         LogEvent(LogLevel::Warning, "port-not-opened")
             .with("port", this->port)
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
+
+#include <sys/resource.h>
 
 #include "citronloft/base/digest.hpp"
 #include "citronloft/edge/http_object_store.hpp"
@@ -30,9 +33,15 @@
 constexpr auto usesZoneReaders = false;
 /// Interval at which a zone's reader repeats what it has announced, since notices can be lost.
 constexpr auto changeNoticeInterval = std::chrono::milliseconds { 1000 };
-/// Fraction of the host's memory that bodies of requests and answers may take. The rest is needed by the host itself,
-/// for received bytes that are not read yet, and twice for a body while its buffer grows.
-constexpr auto bodyMemoryFraction = 0.4;
+/// Fraction of the host's memory that connections may hold, bodies of requests and answers included. The rest is needed
+/// by the host itself, and twice for a body while its buffer grows.
+constexpr auto heldMemoryFraction = 0.4;
+/// Three quarters of the file descriptors, less a fixed number, are for callers; connections to targets, whose number
+/// grows with the load, use the rest.
+constexpr auto callerFdShare = std::size_t { 3 };
+constexpr auto fdDivisor = std::size_t { 4 };
+/// Listening sockets, the log, and connections to the store and other hosts.
+constexpr auto reservedFds = std::size_t { 64 };
 constexpr auto bytesPerMegabyte = 1e6;
 constexpr auto exitClean = 0;
 constexpr auto exitFailed = 1;
@@ -45,13 +54,24 @@
     return name == "zone" ? LendingStrategy::Zone : LendingStrategy::Fleet;
 }
 
-/// @return null if the settings do not state the host's memory.
-auto makeBodyMemory(const HostSettings& settings) -> std::shared_ptr<BodyMemory>
+/// @return the number of connections that leaves file descriptors for targets, the store and other hosts.
+auto connectionLimitOf(const HostSettings& settings) -> std::size_t
+{
+    auto limit = rlimit {};
+    auto fds = std::size_t { settings.maxFds };
+    if (fds == 0 && getrlimit(RLIMIT_NOFILE, &limit) == 0)
+        fds = limit.rlim_cur;
+    const auto callerFds = fds / fdDivisor * callerFdShare;
+    return callerFds - std::min(callerFds / 2, reservedFds);
+}
+
+/// @return a budget without a limit on memory if the settings state none.
+auto makeConnectionBudget(const HostSettings& settings) -> std::shared_ptr<ConnectionBudget>
 {
-    if (settings.memoryMb <= 0)
-        return nullptr;
-    return std::make_shared<BodyMemory>(
-        static_cast<std::size_t>(settings.memoryMb * bytesPerMegabyte * bodyMemoryFraction));
+    const auto bytes = settings.memoryMb > 0
+        ? static_cast<std::size_t>(settings.memoryMb * bytesPerMegabyte * heldMemoryFraction)
+        : std::numeric_limits<std::size_t>::max();
+    return std::make_shared<ConnectionBudget>(bytes, connectionLimitOf(settings));
 }
 
 auto makeHostEntry(const HostSettings& settings, std::uint64_t incarnation) -> HostEntry
@@ -74,8 +94,11 @@
     , onStopped(std::move(onStopped))
     , incarnation(randomId() | 1U)
     , lifecycle(makeHostLifecycle())
-    , bodyMemory(makeBodyMemory(this->settings))
+    , connectionBudget(makeConnectionBudget(this->settings))
 {
+    if (this->settings.memoryMb > 0)
+        this->bodyMemory = this->connectionBudget;
+    this->connectionBudget->onEviction([this](EvictionReason reason) { this->recordEviction(reason); });
 }
 
 Host::~Host() = default;
@@ -157,6 +180,20 @@
     return option;
 }
 
+auto Host::recordEviction(EvictionReason reason) -> void
+{
+    const auto name = std::string { evictionReasonName(reason) };
+    this->metrics.count("citronloft_connections_evicted_total", "reason=\"" + name + "\"");
+    auto suppressedLines = std::uint64_t { 0 };
+    if (!this->connectionLogLimiter.allow("connection-evicted", this->clock.now(), suppressedLines))
+        return;
+    LogEvent(LogLevel::Warning, "connection-evicted")
+        .with("reason", name)
+        .with("held_bytes", this->connectionBudget->usedBytes())
+        .with("connections", this->connectionBudget->connections())
+        .with("left_out", suppressedLines);
+}
+
 auto Host::startDiscovery() -> void
 {
     if (!this->usesAdapter())
--- a/programs/citronloftd/host.hpp
+++ b/programs/citronloftd/host.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "citronloft/base/host_settings.hpp"
+#include "citronloft/base/log_limiter.hpp"
 #include "citronloft/base/metrics.hpp"
 #include "citronloft/edge/gateway.hpp"
 #include "citronloft/edge/peer_exchange.hpp"
@@ -54,6 +55,7 @@
     auto fleetOption() const -> FleetHostOption;
     auto gatewayOption() const -> GatewayOption;
     auto startDiscovery() -> void;
+    auto recordEviction(EvictionReason reason) -> void;
     auto addComponents() -> void;
     auto updateServingState() -> void;
     auto updateRetryBudget(TimePoint now) -> void;
@@ -78,6 +80,9 @@
     std::unique_ptr<HostLifecycle> lifecycle;
     /// Bound on the bodies of all requests and answers; null if the settings state none.
     std::shared_ptr<BodyMemory> bodyMemory;
+    /// Bound on what the connections of all ports hold; the same object as bodyMemory if the settings state the memory.
+    std::shared_ptr<ConnectionBudget> connectionBudget;
+    LogLimiter connectionLogLimiter;
     Platform platform;
     std::shared_ptr<ZoneFeed> zoneFeed;
     std::unique_ptr<Discovery> discovery;
--- a/src/citronloft/edge/body_memory.cpp
+++ b/src/citronloft/edge/body_memory.cpp
@@ -9,10 +9,10 @@
     if (!this->memory)
         return true;
     const auto counted = bodyBytes - std::min(bodyBytes, uncountedBytes);
-    const auto others = this->memory->used - this->reserved;
-    if (counted > this->reserved && others + counted > this->memory->limitBytes)
+    const auto isGranted = this->kind == BodyKind::Request ? this->memory->resizeRequestBody(this->reserved, counted)
+                                                           : this->memory->resizeResponseBody(this->reserved, counted);
+    if (!isGranted)
         return false;
-    this->memory->used = others + counted;
     this->reserved = counted;
     return true;
 }
--- a/src/citronloft/edge/http_client.cpp
+++ b/src/citronloft/edge/http_client.cpp
@@ -21,6 +21,8 @@
 namespace http = boost::beast::http;
 using Tcp = asio::ip::tcp;
 
+/// Capacity of an idle connection's receive buffer that is kept.
+constexpr auto maxIdleBufferBytes = std::size_t { 8192 };
 /// Maximum number of interim responses and responses to other requests before the response to a request.
 constexpr auto maxSkippedResponses = 16;
 constexpr auto firstErrorStatus = 400U;
@@ -378,6 +380,9 @@
     auto release(const Address& address, std::unique_ptr<Connection> connection, bool isReusable) -> void
     {
         auto& addressPool = this->addressPools[address];
+        // A large response has made the buffer grow; many idle connections would keep that memory.
+        if (isReusable && connection->buffer.capacity() > maxIdleBufferBytes)
+            connection->buffer.shrink_to_fit();
         if (isReusable && addressPool.idle.size() < this->option.maxIdlePerAddress)
             addressPool.idle.push_back(std::move(connection));
         else
--- a/src/citronloft/edge/http_read.hpp
+++ b/src/citronloft/edge/http_read.hpp
@@ -47,10 +47,9 @@
 /// @param onParsed called whenever the parser has taken bytes; the read ends with no_memory if it returns false.
 template <typename Stream, typename Parser, typename OnParsed>
 auto readUntil(Stream& stream, boost::beast::flat_buffer& buffer, Parser& parser,
-    std::type_identity_t<bool (Parser::*)() const> isRead, boost::asio::yield_context yield, OnParsed onParsed)
-    -> boost::beast::error_code
+    std::type_identity_t<bool (Parser::*)() const> isRead, boost::asio::yield_context yield, OnParsed onParsed,
+    std::size_t maxReadBytes = std::size_t { 65536 }) -> boost::beast::error_code
 {
-    constexpr auto maxReadBytes = std::size_t { 65536 };
     while (!(parser.*isRead)()) {
         auto error = parseBuffered(buffer, parser);
         if (error && error != boost::beast::http::error::need_more)
@@ -78,7 +77,18 @@
     return {};
 }
 
-/// @brief Reads a message's header.
+/// @brief Reads a message's header in small steps, since the memory of parsed fields may be many times their size.
+/// @param onParsed as in readUntil().
+template <typename Stream, typename Parser, typename OnParsed>
+auto readHeader(Stream& stream, boost::beast::flat_buffer& buffer, Parser& parser, boost::asio::yield_context yield,
+    OnParsed onParsed) -> boost::beast::error_code
+{
+    parser.eager(false);
+    constexpr auto maxReadBytes = std::size_t { 4096 };
+    return readUntil(stream, buffer, parser, &Parser::is_header_done, yield, onParsed, maxReadBytes);
+}
+
+/// @brief Reads a message's header without a limit on memory.
 template <typename Stream, typename Parser>
 auto readHeader(Stream& stream, boost::beast::flat_buffer& buffer, Parser& parser, boost::asio::yield_context yield)
     -> boost::beast::error_code
@@ -89,13 +99,23 @@
 
 /// @brief Reads the rest of a message after its header.
 /// @return no_memory if there is no room for the body.
-template <typename Stream, typename Parser>
+/// @param onParsed as in readUntil().
+template <typename Stream, typename Parser, typename OnParsed>
 auto readBody(Stream& stream, boost::beast::flat_buffer& buffer, Parser& parser, BodyReservation& reservation,
-    boost::asio::yield_context yield) -> boost::beast::error_code
+    boost::asio::yield_context yield, OnParsed onParsed) -> boost::beast::error_code
 {
     parser.eager(true);
     return readUntil(stream, buffer, parser, &Parser::is_done, yield,
-        [&] { return reservation.resize(parser.get().body().capacity()); });
+        [&] { return onParsed() && reservation.resize(parser.get().body().capacity()); });
+}
+
+/// @brief Reads the rest of a message after its header; only the body is limited.
+/// @return no_memory if there is no room for the body.
+template <typename Stream, typename Parser>
+auto readBody(Stream& stream, boost::beast::flat_buffer& buffer, Parser& parser, BodyReservation& reservation,
+    boost::asio::yield_context yield) -> boost::beast::error_code
+{
+    return readBody(stream, buffer, parser, reservation, yield, [] { return true; });
 }
 
 /// @brief Reads the rest of a message after its header without keeping the body.
--- a/src/citronloft/edge/http_server.cpp
+++ b/src/citronloft/edge/http_server.cpp
@@ -94,15 +94,24 @@
                 timer.async_wait(yield[error]);
                 continue;
             }
-            runContained("http-accept", [&] { this->start(std::move(socket)); });
+            // A connection that finds no room is closed; nothing of it has been read.
+            if (this->hasRoomForConnection())
+                runContained("http-accept", [&] { this->start(std::move(socket)); });
         }
     }
 
+    auto hasRoomForConnection() -> bool
+    {
+        const auto& budget = this->sessionContext->option.connectionBudget;
+        return !budget || budget->makeRoomForConnection(std::chrono::steady_clock::now());
+    }
+
     auto start(Tcp::socket socket) -> void
     {
         auto ignored = boost::system::error_code {};
         socket.set_option(Tcp::no_delay(true), ignored);
         auto session = std::make_shared<HttpSession>(this->sessionContext, std::move(socket));
+        session->openAccount();
         startCoroutine(this->sessionContext->context, "http-session",
             [self = this->shared_from_this(), session](asio::yield_context yield) {
                 const auto position = self->sessions.insert(self->sessions.end(), session);
--- a/src/citronloft/edge/http_session.cpp
+++ b/src/citronloft/edge/http_session.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 
@@ -23,6 +24,18 @@
 /// Time allowed for the caller to close its side after the last response. Closing earlier could reset the connection if
 /// bytes from the caller are still in transit, and the response would be lost.
 constexpr auto lingerTimeout = std::chrono::seconds { 1 };
+/// Maximum memory of a connection's unanswered requests, and of their responses, at which another one is read.
+constexpr auto maxReadAheadBytes = std::size_t { 512 } * 1024;
+/// Memory of a connection without requests: the used part of its coroutine's stack, and its objects.
+constexpr auto connectionBytes = std::size_t { 16 } * 1024;
+/// Memory of a request beside its contents: the used part of its handler's stack, and its objects.
+constexpr auto pendingRequestBytes = std::size_t { 32 } * 1024;
+/// Memory of a parsed field beside its characters: the parser's entry, and one of HeaderFields, whose capacity may be
+/// twice its size.
+constexpr auto parsedFieldBytes = std::size_t { 224 };
+/// Memory of a forwarded field: in HeaderFields of the request and of its copy for the target, and in the client's
+/// message.
+constexpr auto pendingFieldBytes = std::size_t { 352 };
 /// Time in which bodies that take all memory are usually passed on.
 constexpr auto memoryRetryAfter = std::chrono::milliseconds { 1000 };
 
@@ -69,6 +82,28 @@
     return response;
 }
 
+/// Estimates the memory of parsed fields, whose short ones take many times their size.
+auto estimateFieldBytes(const http::fields& fields, std::size_t fieldBytes) -> std::size_t
+{
+    auto sum = std::size_t { 0 };
+    for (const auto& field : fields)
+        sum += fieldBytes + 2 * (field.name_string().size() + field.value().size());
+    return sum;
+}
+
+auto estimateFieldBytes(const HeaderFields& fields, std::size_t fieldBytes) -> std::size_t
+{
+    auto sum = std::size_t { 0 };
+    for (const auto& field : fields)
+        sum += fieldBytes + 2 * (field.name.size() + field.value.size());
+    return sum;
+}
+
+auto uncountedPartOf(std::size_t bodyBytes) -> std::size_t
+{
+    return std::min(bodyBytes, BodyReservation::uncountedBytes);
+}
+
 auto now() -> TimePoint { return std::chrono::steady_clock::now(); }
 
 } // namespace
@@ -84,6 +119,15 @@
         this->peer = { endpoint.address().to_string(), endpoint.port() };
 }
 
+auto HttpSession::openAccount() -> void
+{
+    if (const auto& budget = this->sessionContext->option.connectionBudget) {
+        this->account.emplace(budget, now(), [this] { this->closeConnection(); });
+        if (!this->account->resize(this->heldBytes()))
+            this->closeConnection();
+    }
+}
+
 auto HttpSession::runUntilClosed(asio::yield_context yield) -> void
 {
     try {
@@ -126,13 +170,27 @@
     if (!this->waitForPendingLimit(yield) || !this->waitForBytes(yield))
         return false;
     this->isReading = true;
-    auto parser = Parser {};
+    this->updateState();
+    auto parser = std::make_optional<Parser>();
     auto request = HttpRequest {};
-    const auto error = this->readRequest(parser, request, yield);
+    auto error = this->readRequest(*parser, request, yield);
+    const auto keepsAlive = !error && parser->keep_alive();
+    // A refusal may have to wait for the responses before it; the request must not take memory meanwhile.
+    parser.reset();
     this->readDeadline = TimePoint::max();
     this->isReading = false;
+    this->readingBytes = 0;
+    this->fieldBytes = 0;
+    this->shrinkBuffer();
+    if (this->isClosed)
+        return false;
+    if (!error && !this->reservePending(request))
+        error = asio::error::no_memory;
     if (!error)
-        return this->startHandler(std::move(request), parser.keep_alive());
+        return this->startHandler(std::move(request), keepsAlive);
+    request = {};
+    this->readingBytes = 0;
+    this->updateState();
     if (isRefusal(error)) {
         this->sendRefusal(resultCodeOf(error), yield);
         return false;
@@ -144,19 +202,31 @@
 auto HttpSession::waitForPendingLimit(asio::yield_context yield) -> bool
 {
     auto ignored = beast::error_code {};
-    while (this->pendingRequests.size() >= maxPendingRequests && !this->isClosed) {
+    while (!this->mayReadAhead() && !this->isClosed) {
         this->pendingLimitTimer.expires_at(TimePoint::max());
         this->pendingLimitTimer.async_wait(yield[ignored]);
     }
     return !this->isClosed && !this->isReadingStopped;
 }
 
+auto HttpSession::mayReadAhead() const -> bool
+{
+    if (this->pendingRequests.empty())
+        return true;
+    if (this->pendingRequests.size() >= maxPendingRequests)
+        return false;
+    return !this->account
+        || (this->pendingBytes + this->pendingReservedBytes < maxReadAheadBytes
+            && this->sessionContext->option.connectionBudget->allowsReadAhead());
+}
+
 /// @return whether a request has begun and should be read.
 auto HttpSession::waitForBytes(asio::yield_context yield) -> bool
 {
     if (this->buffer.size() > 0)
         return true;
     this->idleDeadline = now() + this->sessionContext->option.idleTimeout;
+    this->updateState();
     auto error = beast::error_code {};
     const auto size = this->socket.async_read_some(this->buffer.prepare(readSize), yield[error]);
     this->buffer.commit(size);
@@ -173,7 +243,8 @@
     parser.body_limit(option.bodyLimitBytes);
     this->buffer.max_size(std::max<std::size_t>(maxUnparsedBytes, option.headerLimitBytes + readSize));
     this->readDeadline = now() + option.requestTimeout;
-    if (const auto error = readHeader(this->socket, this->buffer, parser, yield))
+    if (const auto error
+        = readHeader(this->socket, this->buffer, parser, yield, [&] { return this->recordReceived(parser, 0, yield); }))
         return error;
     const auto& message = parser.get();
     if (hasAmbiguousLength(message))
@@ -183,13 +254,98 @@
     request.fields = copyFields(parser);
     if (beast::iequals(message[http::field::expect], "100-continue") && this->pendingRequests.empty())
         this->writeContinue(yield);
-    request.reservation = std::make_shared<BodyReservation>(option.bodyMemory);
-    if (const auto error = readBody(this->socket, this->buffer, parser, *request.reservation, yield))
+    request.reservation = std::make_shared<BodyReservation>(option.bodyMemory, BodyKind::Request);
+    const auto recordBody = [&] { return this->recordReceived(parser, request.reservation->bytes(), yield); };
+    if (const auto error = readBody(this->socket, this->buffer, parser, *request.reservation, yield, recordBody))
         return error;
     request.body = std::move(parser.get().body());
     return {};
 }
 
+/// Counts what has been received of a request.
+/// @return whether there is room for it.
+auto HttpSession::recordReceived(const Parser& parser, std::size_t reservedBytes, asio::yield_context yield) -> bool
+{
+    if (!this->account)
+        return true;
+    const auto& message = parser.get();
+    this->account->recordProgress(ConnectionState::Receiving, now());
+    if (!parser.is_header_done() || this->fieldBytes == 0)
+        this->fieldBytes = estimateFieldBytes(message, parsedFieldBytes);
+    this->readingBytes = this->fieldBytes + uncountedPartOf(message.body().capacity());
+    this->account->setBodyBytes(this->pendingReservedBytes + reservedBytes);
+    if (!this->account->resize(this->heldBytes()))
+        return false;
+    // Connections closed to make room return their memory in the next turn of the event loop. Many connections that
+    // grow within one turn would exceed the budget.
+    if (this->sessionContext->option.connectionBudget->isAwaitingReturns())
+        asio::post(this->sessionContext->context, yield);
+    return true;
+}
+
+/// Counts a request that is going to run.
+/// @return whether there is room for it.
+auto HttpSession::reservePending(const HttpRequest& request) -> bool
+{
+    if (!this->account)
+        return true;
+    this->readingBytes = pendingRequestBytes + estimateFieldBytes(request.fields, pendingFieldBytes)
+        + uncountedPartOf(request.body.capacity());
+    return this->account->resize(this->heldBytes());
+}
+
+/// Counts a response instead of its request.
+auto HttpSession::recordResponse(PendingRequest& pendingRequest) -> void
+{
+    if (!this->account)
+        return;
+    const auto& response = *pendingRequest.response;
+    const auto bytes = estimateFieldBytes(response, parsedFieldBytes) + uncountedPartOf(response.body().capacity());
+    this->pendingBytes += bytes - pendingRequest.heldBytes;
+    pendingRequest.heldBytes = bytes;
+    if (pendingRequest.reservation)
+        this->pendingReservedBytes += pendingRequest.reservation->bytes();
+    this->account->forceResize(this->heldBytes());
+    this->account->setBodyBytes(this->pendingReservedBytes);
+}
+
+/// Returns what a response held after it has been written.
+auto HttpSession::releasePending(const PendingRequest& pendingRequest) -> void
+{
+    if (!this->account)
+        return;
+    this->pendingBytes -= pendingRequest.heldBytes;
+    if (pendingRequest.response && pendingRequest.reservation)
+        this->pendingReservedBytes -= pendingRequest.reservation->bytes();
+    this->account->forceResize(this->heldBytes());
+    this->account->setBodyBytes(this->pendingReservedBytes);
+}
+
+/// Requests whose handler runs keep their connection; otherwise the connection waits for its caller.
+auto HttpSession::updateState() -> void
+{
+    if (!this->account)
+        return;
+    if (this->isWriting)
+        this->account->setState(ConnectionState::Sending, now());
+    else if (this->isReading || this->pendingRequests.empty())
+        this->account->setState(ConnectionState::Receiving, now());
+    else
+        this->account->setState(ConnectionState::Running, now());
+}
+
+auto HttpSession::heldBytes() const -> std::size_t
+{
+    return connectionBytes + this->buffer.capacity() + this->readingBytes + this->pendingBytes;
+}
+
+/// Returns the memory of a buffer that a large request has made grow.
+auto HttpSession::shrinkBuffer() -> void
+{
+    if (this->buffer.capacity() > readSize && this->buffer.size() <= readSize)
+        this->buffer.shrink_to_fit();
+}
+
 auto HttpSession::writeContinue(asio::yield_context yield) -> void
 {
     auto error = beast::error_code {};
@@ -209,12 +365,18 @@
         const auto self = weak.lock();
         return !self || self->hasPeerClosed();
     });
+    pendingRequest->heldBytes = std::exchange(this->readingBytes, 0);
+    this->pendingBytes += pendingRequest->heldBytes;
     this->pendingRequests.push_back(pendingRequest);
+    this->updateState();
     startCoroutine(this->sessionContext->context, "http-handler",
         [self = this->shared_from_this(), pendingRequest, plain = std::move(request)](
             asio::yield_context yield) mutable {
             self->callHandler(plain, *pendingRequest, yield);
+            plain = {};
             pendingRequest->caller->onDisconnect(nullptr);
+            if (pendingRequest->response)
+                self->recordResponse(*pendingRequest);
             self->writeReadyResponses(yield);
         });
     return !pendingRequest->isLast;
@@ -262,6 +424,7 @@
             break;
     }
     this->isWriting = false;
+    this->updateState();
 }
 
 /// @return whether another response may follow.
@@ -274,6 +437,9 @@
     if (isLast)
         this->isReadingStopped = true;
     pendingRequest.response->keep_alive(!isLast);
+    this->updateState();
+    if (this->account)
+        this->account->recordProgress(ConnectionState::Sending, now());
     this->writeDeadline = now() + this->sessionContext->option.writeTimeout;
     auto error = beast::error_code {};
     http::async_write(this->socket, *pendingRequest.response, yield[error]);
@@ -282,6 +448,7 @@
     if (this->isClosed)
         return false;
     this->pendingRequests.pop_front();
+    this->releasePending(pendingRequest);
     this->pendingLimitTimer.cancel();
     if (error) {
         this->closeConnection();
@@ -300,6 +467,8 @@
 {
     auto error = beast::error_code {};
     this->buffer.clear();
+    this->shrinkBuffer();
+    this->updateState();
     while (!error && !this->isClosed) {
         this->buffer.clear();
         this->socket.async_read_some(this->buffer.prepare(readSize), yield[error]);
--- a/src/citronloft/edge/http_session.hpp
+++ b/src/citronloft/edge/http_session.hpp
@@ -36,6 +36,9 @@
 
     HttpSession(std::shared_ptr<HttpSessionContext> sessionContext, Tcp::socket socket);
 
+    /// @brief Counts the connection in the server's budget, if there is one; to be called once, before it runs.
+    auto openAccount() -> void;
+
     /// @brief Reads and handles requests until the connection is closed; an exception closes it.
     auto runUntilClosed(boost::asio::yield_context yield) -> void;
 
@@ -61,16 +64,26 @@
         std::optional<Response> response;
         /// Memory that the response's body takes until it is written.
         std::shared_ptr<BodyReservation> reservation;
+        /// Memory that the request, and later its response, takes beside the reservation.
+        std::size_t heldBytes = 0;
         bool isLast = false;
         bool requestsClose = false;
     };
 
     auto run(boost::asio::yield_context yield) -> void;
     auto handleNextRequest(boost::asio::yield_context yield) -> bool;
+    [[nodiscard]] auto mayReadAhead() const -> bool;
     auto waitForBytes(boost::asio::yield_context yield) -> bool;
     auto waitForPendingLimit(boost::asio::yield_context yield) -> bool;
     auto readRequest(Parser& parser, HttpRequest& request, boost::asio::yield_context yield)
         -> boost::beast::error_code;
+    auto recordReceived(const Parser& parser, std::size_t reservedBytes, boost::asio::yield_context yield) -> bool;
+    auto reservePending(const HttpRequest& request) -> bool;
+    auto recordResponse(PendingRequest& pendingRequest) -> void;
+    auto releasePending(const PendingRequest& pendingRequest) -> void;
+    auto updateState() -> void;
+    [[nodiscard]] auto heldBytes() const -> std::size_t;
+    auto shrinkBuffer() -> void;
     auto writeContinue(boost::asio::yield_context yield) -> void;
     auto startHandler(HttpRequest&& request, bool keepsAlive) -> bool;
     auto sendRefusal(ResultCode code, boost::asio::yield_context yield) -> void;
@@ -87,6 +100,14 @@
     boost::asio::steady_timer pendingLimitTimer;
     Address peer;
     std::deque<std::shared_ptr<PendingRequest>> pendingRequests;
+    /// Null: what the connection holds is not bounded.
+    std::optional<ConnectionBudget::Account> account;
+    /// Memory of the request that is being read, beside its reservation, and of its fields alone.
+    std::size_t readingBytes = 0;
+    std::size_t fieldBytes = 0;
+    /// Sum over the pending requests.
+    std::size_t pendingBytes = 0;
+    std::size_t pendingReservedBytes = 0;
     bool isReading = false;
     bool isWriting = false;
     /// No further request is read from this connection.
--- /dev/null
+++ b/src/citronloft/policy/connection_budget.cpp
@@ -0,0 +1,151 @@
+#include "citronloft/policy/connection_budget.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace citronloft {
+
+auto evictionReasonName(EvictionReason reason) -> const char*
+{
+    return reason == EvictionReason::Memory ? "memory" : "descriptors";
+}
+
+auto ConnectionBudget::fits(std::size_t growth, std::size_t limit) const -> bool
+{
+    const auto lasting = this->used - std::min(this->used, this->evictedBytes);
+    return growth <= limit && lasting <= limit - growth;
+}
+
+auto ConnectionBudget::resizeRequestBody(std::size_t oldBytes, std::size_t newBytes) -> bool
+{
+    if (newBytes > oldBytes && !this->makeRoom(newBytes - oldBytes, this->requestLimit(), nullptr, false))
+        return false;
+    this->used = this->used - oldBytes + newBytes;
+    return true;
+}
+
+auto ConnectionBudget::resizeResponseBody(std::size_t oldBytes, std::size_t newBytes) -> bool
+{
+    if (newBytes > oldBytes && !this->makeRoom(newBytes - oldBytes, this->limitBytes, nullptr, false))
+        return false;
+    this->used = this->used - oldBytes + newBytes;
+    return true;
+}
+
+auto ConnectionBudget::makeRoomForConnection(TimePoint now) -> bool
+{
+    this->latest = std::max(this->latest, now);
+    if (this->count < this->connectionLimit)
+        return true;
+    auto* victim = this->findVictim(nullptr, true);
+    if (victim == nullptr)
+        return false;
+    this->evict(*victim, EvictionReason::Descriptors);
+    return true;
+}
+
+auto ConnectionBudget::makeRoom(std::size_t growth, std::size_t limit, const Account* exempt, bool evictsRecent) -> bool
+{
+    while (!this->fits(growth, limit)) {
+        auto* victim = this->findVictim(exempt, evictsRecent);
+        if (victim == nullptr)
+            return false;
+        this->evict(*victim, EvictionReason::Memory);
+    }
+    return true;
+}
+
+/// Closing an incomplete request loses less than closing a response, for which a request has run.
+auto ConnectionBudget::findVictim(const Account* exempt, bool evictsRecent) const -> Account*
+{
+    const auto firstOf = [&](const Accounts& accounts) -> Account* {
+        const auto first = std::ranges::find_if(accounts, [&](const auto* account) { return account != exempt; });
+        return first == accounts.end() ? nullptr : *first;
+    };
+    auto* receiver = firstOf(this->receiving);
+    auto* sender = firstOf(this->sending);
+    if (receiver != nullptr && this->latest - receiver->lastProgressAt >= patience)
+        return receiver;
+    if (sender != nullptr && this->latest - sender->lastProgressAt >= patience)
+        return sender;
+    return evictsRecent ? receiver : nullptr;
+}
+
+auto ConnectionBudget::evict(Account& account, EvictionReason reason) -> void
+{
+    if (this->evictionCallback)
+        this->evictionCallback(reason);
+    account.isEvicted = true;
+    account.pendingReturnBytes = account.heldBytes + account.bodyBytes;
+    this->evictedBytes += account.pendingReturnBytes;
+    --this->count;
+    this->others.splice(this->others.end(), account.listOf(account.state), account.position);
+    account.state = ConnectionState::Running;
+    if (const auto close = std::exchange(account.close, nullptr))
+        close();
+}
+
+ConnectionBudget::Account::Account(std::shared_ptr<ConnectionBudget> budget, TimePoint now, std::function<void()> close)
+    : budget(std::move(budget))
+    , close(std::move(close))
+    , position(this->budget->receiving.insert(this->budget->receiving.end(), this))
+    , lastProgressAt(now)
+{
+    ++this->budget->count;
+}
+
+ConnectionBudget::Account::~Account()
+{
+    this->budget->used -= this->heldBytes;
+    this->budget->evictedBytes -= this->pendingReturnBytes;
+    this->listOf(this->state).erase(this->position);
+    if (!this->isEvicted)
+        --this->budget->count;
+}
+
+auto ConnectionBudget::Account::listOf(ConnectionState state) -> Accounts&
+{
+    if (state == ConnectionState::Receiving)
+        return this->budget->receiving;
+    return state == ConnectionState::Sending ? this->budget->sending : this->budget->others;
+}
+
+auto ConnectionBudget::Account::setState(ConnectionState state, TimePoint now) -> void
+{
+    this->budget->latest = std::max(this->budget->latest, now);
+    if (state == this->state || this->isEvicted)
+        return;
+    auto& list = this->listOf(state);
+    list.splice(list.end(), this->listOf(this->state), this->position);
+    this->state = state;
+    this->lastProgressAt = now;
+}
+
+auto ConnectionBudget::Account::recordProgress(ConnectionState state, TimePoint now) -> void
+{
+    this->budget->latest = std::max(this->budget->latest, now);
+    if (this->state != state || this->isEvicted)
+        return;
+    this->lastProgressAt = now;
+    auto& list = this->listOf(state);
+    list.splice(list.end(), list, this->position);
+}
+
+auto ConnectionBudget::Account::resize(std::size_t bytes) -> bool
+{
+    if (this->isEvicted)
+        return false;
+    if (bytes > this->heldBytes
+        && !this->budget->makeRoom(bytes - this->heldBytes, this->budget->requestLimit(), this, true))
+        return false;
+    this->forceResize(bytes);
+    return true;
+}
+
+auto ConnectionBudget::Account::forceResize(std::size_t bytes) -> void
+{
+    this->budget->used = this->budget->used - this->heldBytes + bytes;
+    this->heldBytes = bytes;
+}
+
+} // namespace citronloft
