--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,7 +8,8 @@
 GTEST_FILTER="-$known" ctest --preset release ${cases:+--exclude-regex "^($cases)\$"}
 if [[ -n $known ]]; then
   echo "known to be red (KNOWN-RED.txt): $known"
-  for program in build/release/fleet_test build/release/platform/tests/platform_test; do
+  for program in build/release/fleet_test build/release/platform/tests/platform_test \
+    build/release/platform/tests/hostile_clients_test; do
     "$program" --gtest_filter="$known" || true
   done
 fi
