--- a/include/citronloft/base/config.hpp
+++ b/include/citronloft/base/config.hpp
@@ -69,8 +69,8 @@
     bool sticky = false;
     /// Regions in which the route's requests may run; empty: all.
     std::vector<std::string> homeRegions;
-    /// Whether requests or responses are so large that links between regions matter more than the target's cache. Set by
-    /// adapters whose configuration states it; not part of the stored configuration.
+    /// Whether requests or responses are so large that links between regions matter more than the target's cache. Set
+    /// by adapters whose configuration states it; not part of the stored configuration.
     bool hasLargeBodies = false;
 
     auto operator==(const Route&) const -> bool = default;
