--- a/include/citronloft/policy/connection_budget.hpp
+++ b/include/citronloft/policy/connection_budget.hpp
@@ -40,7 +40,7 @@
     class Account;
 
     /// Time without progress after which a connection may be closed to make room for any other one.
-    static constexpr auto patience = std::chrono::seconds { 2 };
+    static constexpr auto stallTimeout = std::chrono::seconds { 2 };
     /// Part of the memory that is left for the bodies of responses, as its reciprocal.
     static constexpr auto responseShareDivisor = std::size_t { 4 };
 
--- a/src/citronloft/policy/connection_budget.cpp
+++ b/src/citronloft/policy/connection_budget.cpp
@@ -64,9 +64,9 @@
     };
     auto* receiver = firstOf(this->receiving);
     auto* sender = firstOf(this->sending);
-    if (receiver != nullptr && this->latest - receiver->lastProgressAt >= patience)
+    if (receiver != nullptr && this->latest - receiver->lastProgressAt >= stallTimeout)
         return receiver;
-    if (sender != nullptr && this->latest - sender->lastProgressAt >= patience)
+    if (sender != nullptr && this->latest - sender->lastProgressAt >= stallTimeout)
         return sender;
     return evictsRecent ? receiver : nullptr;
 }
