--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,12 +4,12 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for source in review/{6,7,8,9,10}/case.cpp; do
+for source in review/{6,7,8,9,10}/case.cc; do
   [ -f "$source" ] || continue
   number=$(basename "$(dirname "$source")")
   "${CXX:-g++}" -std=c++20 -O1 -pthread "$source" -o "target/review-2/case-$number" &
 done
 wait
-for source in review/{6,7,8,9,10}/case.cpp; do
+for source in review/{6,7,8,9,10}/case.cc; do
   [ ! -f "$source" ] || [ -x "target/review-2/case-$(basename "$(dirname "$source")")" ]
 done
--- a/review/standins-2/platform.hpp
+++ b/review/standins-2/platform.h
@@ -17,7 +17,7 @@
 #include <sys/resource.h>
 #include <sys/wait.h>
 
-#include "net.hpp"
+#include "net.h"
 
 namespace review {
 
--- a/review/standins-2/server.hpp
+++ b/review/standins-2/server.h
@@ -2,7 +2,7 @@
 /// @brief Stand-in of a sound backend, as the users' pages describe it.
 #pragma once
 
-#include "platform.hpp"
+#include "platform.h"
 
 namespace review {
 
