Bound the connections at the peer port

Callers saw: nothing while few connected; with 600 silent connections at the port for other hosts, the daemon held 620 descriptors where its settings allow 512 (ClientCrowdTest.ConnectionsAtThePeerPort, which comes with the tests of crowds of clients). Cause: this port took any number of connections, each for up to 10 s, and an accept that failed for lack of a descriptor was repeated at once.

Now a server for peers has a limit; at the limit the oldest connection that has not proved to be a host's makes room, so that a host's fetch is answered while silent connections keep coming (PeerServerTest). Its receive buffer is bounded to what one request needs, and a failed accept is repeated after 50 ms.

--- a/src/citronloft/edge/peer_exchange.cpp
+++ b/src/citronloft/edge/peer_exchange.cpp
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <array>
+#include <list>
 #include <variant>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/endian/conversion.hpp>
@@ -32,6 +34,9 @@
 constexpr auto frameStepBytes = std::size_t { 256 } * 1024;
 constexpr auto maxRequestBytes = std::uint32_t { 1024 };
 constexpr auto exchangeTimeout = std::chrono::seconds { 10 };
+/// Receive buffer of a connection at the peer port, which carries one request of at most maxRequestBytes.
+constexpr auto requestBufferBytes = std::size_t { 4096 };
+constexpr auto acceptRetryDelay = std::chrono::milliseconds { 50 };
 
 /// Timeout of a feed request. A zone's reader normally answers within milliseconds; after a timeout the store is asked.
 constexpr auto feedTimeout = std::chrono::milliseconds { 500 };
@@ -107,17 +112,19 @@
 
 class AsioPeerServer final : public PeerServer, public std::enable_shared_from_this<AsioPeerServer> {
 public:
-    AsioPeerServer(asio::io_context& context, std::string secret, PeerHandlers handlers)
+    AsioPeerServer(asio::io_context& context, std::string secret, PeerHandlers handlers, PeerServerOption option)
         : context(context)
         , acceptor(context)
+        , acceptRetryTimer(context)
         , secret(std::move(secret))
         , handlers(std::move(handlers))
+        , option(std::move(option))
     {
     }
 
     auto listen(const Address& address) -> absl::Status
     {
-        if (const auto status = listenOn(this->acceptor, address); !status.ok())
+        if (const auto status = listenOn(this->acceptor, address, requestBufferBytes); !status.ok())
             return status;
         this->acceptNext();
         return absl::OkStatus();
@@ -127,31 +134,72 @@
     {
         auto ignored = ErrorCode {};
         this->acceptor.close(ignored);
+        this->acceptRetryTimer.cancel();
     }
 
 private:
+    struct PeerConnection {
+        Stream stream;
+        /// Whether the other side has proved that it is a host of this fleet.
+        bool isVerified = false;
+    };
+    using Connections = std::list<std::shared_ptr<PeerConnection>>;
+
     auto acceptNext() -> void
     {
         this->acceptor.async_accept([self = this->shared_from_this()](ErrorCode error, Tcp::socket socket) {
             if (!self->acceptor.is_open())
                 return;
-            if (!error)
+            if (error) {
+                self->acceptLater();
+                return;
+            }
+            if (self->makeRoom())
                 runContained("peer-accept", [&] { self->startConnection(std::move(socket)); });
             self->acceptNext();
         });
     }
 
+    /// Without a free file descriptor, the next attempt would fail at once.
+    auto acceptLater() -> void
+    {
+        this->acceptRetryTimer.expires_after(acceptRetryDelay);
+        this->acceptRetryTimer.async_wait([self = this->shared_from_this()](ErrorCode error) {
+            if (!error && self->acceptor.is_open())
+                self->acceptNext();
+        });
+    }
+
+    /// At the limit, closes the oldest connection that has not proved to be a host's.
+    auto makeRoom() -> bool
+    {
+        if (this->connections.size() < this->option.connectionLimit)
+            return true;
+        const auto oldest
+            = std::ranges::find_if(this->connections, [](const auto& connection) { return !connection->isVerified; });
+        if (this->option.onLimit)
+            this->option.onLimit();
+        if (oldest == this->connections.end())
+            return false;
+        (*oldest)->stream.close();
+        this->connections.erase(oldest);
+        return true;
+    }
+
     auto startConnection(Tcp::socket socket) -> void
     {
-        auto stream = std::make_shared<Stream>(std::move(socket));
+        auto connection = std::make_shared<PeerConnection>(PeerConnection { Stream(std::move(socket)) });
+        this->connections.push_back(connection);
         startCoroutine(
-            this->context, "peer-connection", [self = this->shared_from_this(), stream](asio::yield_context yield) {
-                self->serveConnection(*stream, yield);
+            this->context, "peer-connection", [self = this->shared_from_this(), connection](asio::yield_context yield) {
+                runContained("peer-connection", [&] { self->serveConnection(*connection, yield); });
+                self->connections.remove(connection);
             });
     }
 
-    auto serveConnection(Stream& stream, asio::yield_context yield) -> void
+    auto serveConnection(PeerConnection& connection, asio::yield_context yield) -> void
     {
+        auto& stream = connection.stream;
         stream.expires_after(exchangeTimeout);
         const auto frame = readFrame(stream, maxRequestBytes, yield);
         if (!frame.ok())
@@ -159,6 +207,7 @@
         const auto body = verifyFrame(this->secret, "request", 0, *frame);
         if (!body.ok())
             return;
+        connection.isVerified = true;
         const auto request = decode<PeerRequest>(*body);
         if (!request.ok())
             return;
@@ -181,8 +230,12 @@
 
     asio::io_context& context;
     Tcp::acceptor acceptor;
+    asio::steady_timer acceptRetryTimer;
     std::string secret;
     PeerHandlers handlers;
+    PeerServerOption option;
+    /// Open connections in the order in which they were accepted.
+    Connections connections;
 };
 
 class AsioPeerFetcher final : public ConfigFetcher,
@@ -262,10 +315,10 @@
 
 } // namespace
 
-auto makePeerServer(boost::asio::io_context& context, const Address& address, std::string secret, PeerHandlers handlers)
-    -> absl::StatusOr<std::shared_ptr<PeerServer>>
+auto makePeerServer(boost::asio::io_context& context, const Address& address, std::string secret, PeerHandlers handlers,
+    PeerServerOption option) -> absl::StatusOr<std::shared_ptr<PeerServer>>
 {
-    auto server = std::make_shared<AsioPeerServer>(context, std::move(secret), std::move(handlers));
+    auto server = std::make_shared<AsioPeerServer>(context, std::move(secret), std::move(handlers), std::move(option));
     if (const auto status = server->listen(address); !status.ok())
         return status;
     return server;
