Bound the connections to targets, and close those to targets that have left

Cause: an idle connection was closed only when a later request to the same address found it closed. Nobody sends to the address of a target that has left, and unsafe requests, which open a connection each, left up to 64 idle ones for each address.

The client for targets now has a limit on all its connections; at the limit the one that has been idle for longest is closed. Idle connections are closed after 20 s, when no request would use them any more, and those to a target as soon as discovery drops it. A connection whose exchange ends with an exception is counted as closed.

--- a/include/citronloft/edge/gateway.hpp
+++ b/include/citronloft/edge/gateway.hpp
@@ -184,6 +184,7 @@
     auto publishLoads(TimePoint now) -> void;
     [[nodiscard]] auto loadPublishInterval() const -> Duration;
     auto choosePool(Call& call) -> void;
+    auto forgetDeparted(const DiscoveredTargets& remaining) -> void;
     auto applyTargets(const Pool& pool) -> void;
     [[nodiscard]] auto liveTargetsOf(const Pool& pool) const -> std::vector<LiveTarget>;
     [[nodiscard]] static auto objectiveEnd(const Call& call) -> TimePoint;
--- a/include/citronloft/edge/http_client.hpp
+++ b/include/citronloft/edge/http_client.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 
@@ -120,6 +121,11 @@
     /// Memory for the bodies of all responses together; null does not bound it.
     std::shared_ptr<BodyMemory> bodyMemory {};
     std::size_t maxIdlePerAddress = 64;
+    /// Maximum number of open connections to all addresses together, idle ones included; at the limit the one that has
+    /// been idle for longest is closed first.
+    std::size_t maxConnections = std::numeric_limits<std::size_t>::max();
+    /// Time after which an idle connection is closed.
+    std::chrono::seconds maxIdleAge { 20 };
     /// Maximum age of a connection that is reused.
     std::chrono::seconds maxConnectionAge { 120 };
     std::chrono::milliseconds connectTimeout { 1000 };
@@ -147,6 +153,10 @@
     /// @brief Closes every idle connection to `address`.
     virtual auto closeIdle(const Address& address) -> void = 0;
 
+    /// @brief Closes every idle connection to an address that is no longer in use, and the others after their exchange.
+    /// A later exchange uses the address again.
+    virtual auto forget(const Address& address) -> void = 0;
+
     /// @return the number of open connections to `address`, including idle ones.
     [[nodiscard]] virtual auto openConnections(const Address& address) const -> std::size_t = 0;
 };
--- a/src/citronloft/edge/gateway_targets.cpp
+++ b/src/citronloft/edge/gateway_targets.cpp
@@ -40,6 +40,7 @@
 
 auto Gateway::setDiscoveredTargets(DiscoveredTargets targets) -> void
 {
+    this->forgetDeparted(targets);
     this->discovered = std::move(targets);
     if (!this->snapshot)
         return;
@@ -47,10 +48,25 @@
         this->applyTargets(pool);
 }
 
+/// Closes connections to targets that have left; nothing would use them again.
+auto Gateway::forgetDeparted(const DiscoveredTargets& remaining) -> void
+{
+    auto addresses = std::set<std::string> {};
+    for (const auto& [pool, targets] : remaining)
+        for (const auto& live : targets)
+            addresses.insert(live.target.address);
+    for (const auto& [pool, targets] : this->discovered)
+        for (const auto& live : targets) {
+            const auto address = parseAddress(live.target.address);
+            if (address.ok() && !addresses.contains(live.target.address))
+                this->client->forget(*address);
+        }
+}
+
 auto Gateway::setEvacuatedZones(std::set<std::string> zones) -> void
 {
     this->evacuatedZones = std::move(zones);
-    this->setDiscoveredTargets(std::move(this->discovered));
+    this->setDiscoveredTargets(DiscoveredTargets { this->discovered });
 }
 
 auto Gateway::setRetryOption(RetryOption changed) -> void
--- a/src/citronloft/edge/http_client.cpp
+++ b/src/citronloft/edge/http_client.cpp
@@ -25,6 +25,8 @@
 constexpr auto maxIdleBufferBytes = std::size_t { 8192 };
 /// Maximum number of interim responses and responses to other requests before the response to a request.
 constexpr auto maxSkippedResponses = 16;
+/// Interval at which connections that have been idle for too long are closed.
+constexpr auto expiryInterval = std::chrono::seconds { 1 };
 constexpr auto firstErrorStatus = 400U;
 constexpr auto minStatus = 100U;
 constexpr auto maxStatus = 599U;
@@ -48,6 +50,8 @@
     std::size_t open = 0;
     /// Whether the server's last error, or response without id, stated the request's id.
     bool identifiesErrors = false;
+    /// Whether connections are closed after their exchange, since the address is no longer in use.
+    bool isForgotten = false;
 };
 
 using OutgoingRequest = http::request<http::span_body<const char>>;
@@ -94,6 +98,8 @@
         asio::yield_context yield) -> Exchange override
     {
         auto result = Exchange {};
+        this->closeExpired();
+        this->addressPools[address].isForgotten = false;
         auto message = toBeast(address, request);
         auto connection = this->needsNewConnection(address, exchangeOption)
             ? nullptr
@@ -103,10 +109,16 @@
             connection = this->openPooled(address, exchangeOption, result, yield);
         if (!connection)
             return result;
-        const auto isReusable = this->sendAndReceive(*connection, std::move(message), exchangeOption, result, yield);
-        if (result.identifiesErrors)
-            this->addressPools[address].identifiesErrors = *result.identifiesErrors;
-        this->release(address, std::move(connection), isReusable);
+        try {
+            const auto isReusable
+                = this->sendAndReceive(*connection, std::move(message), exchangeOption, result, yield);
+            if (result.identifiesErrors)
+                this->addressPools[address].identifiesErrors = *result.identifiesErrors;
+            this->release(address, std::move(connection), isReusable);
+        } catch (const std::exception&) {
+            this->release(address, std::move(connection), false);
+            throw;
+        }
         return result;
     }
 
@@ -122,10 +134,21 @@
     auto closeIdle(const Address& address) -> void override
     {
         auto& addressPool = this->addressPools[address];
-        addressPool.open -= addressPool.idle.size();
+        this->recordClosed(addressPool, addressPool.idle.size());
         addressPool.idle.clear();
     }
 
+    auto forget(const Address& address) -> void override
+    {
+        const auto found = this->addressPools.find(address);
+        if (found == this->addressPools.end())
+            return;
+        this->closeIdle(address);
+        found->second.isForgotten = true;
+        if (found->second.open == 0)
+            this->addressPools.erase(found);
+    }
+
     [[nodiscard]] auto openConnections(const Address& address) const -> std::size_t override
     {
         const auto found = this->addressPools.find(address);
@@ -163,7 +186,7 @@
             addressPool.idle.pop_back();
             const auto isWithinMaxAge = now - connection->openedAt < this->option.maxConnectionAge;
             if (!isWithinMaxAge || !isIdleAndOpen(*connection)) {
-                --addressPool.open;
+                this->recordClosed(addressPool, 1);
                 continue;
             }
             if (now - connection->lastResponseAt < maxIdleTime)
@@ -174,16 +197,65 @@
         return nullptr;
     }
 
-    /// Closes the oldest idle connection if the limit is reached.
+    /// Closes the oldest idle connection if the limit of the address, or of all addresses, is reached.
     /// @return whether another connection can be opened.
     auto makeRoom(const Address& address, std::size_t limit) -> bool
     {
         auto& addressPool = this->addressPools[address];
-        if (addressPool.open >= limit && !addressPool.idle.empty()) {
-            addressPool.idle.erase(addressPool.idle.begin());
-            --addressPool.open;
+        if (addressPool.open >= limit)
+            this->closeOldestIdle(addressPool);
+        if (addressPool.open >= limit)
+            return false;
+        if (this->openConnectionCount >= this->option.maxConnections)
+            this->closeOldestIdle();
+        return this->openConnectionCount < this->option.maxConnections;
+    }
+
+    auto closeOldestIdle(AddressPool& addressPool) -> void
+    {
+        if (addressPool.idle.empty())
+            return;
+        addressPool.idle.erase(addressPool.idle.begin());
+        this->recordClosed(addressPool, 1);
+    }
+
+    auto closeOldestIdle() -> void
+    {
+        AddressPool* oldest = nullptr;
+        for (auto& [address, addressPool] : this->addressPools) {
+            if (addressPool.idle.empty())
+                continue;
+            if (oldest == nullptr || addressPool.idle.front()->lastResponseAt < oldest->idle.front()->lastResponseAt)
+                oldest = &addressPool;
         }
-        return addressPool.open < limit;
+        if (oldest != nullptr)
+            this->closeOldestIdle(*oldest);
+    }
+
+    /// Closes connections that have been idle for too long, at most once per interval.
+    auto closeExpired() -> void
+    {
+        const auto now = this->clock.now();
+        if (now < this->nextExpiryAt)
+            return;
+        this->nextExpiryAt = now + expiryInterval;
+        for (auto& [address, addressPool] : this->addressPools) {
+            while (
+                !addressPool.idle.empty() && now - addressPool.idle.front()->lastResponseAt >= this->option.maxIdleAge)
+                this->closeOldestIdle(addressPool);
+        }
+    }
+
+    auto recordOpened(AddressPool& addressPool) -> void
+    {
+        ++addressPool.open;
+        ++this->openConnectionCount;
+    }
+
+    auto recordClosed(AddressPool& addressPool, std::size_t count) -> void
+    {
+        addressPool.open -= count;
+        this->openConnectionCount -= count;
     }
 
     auto open(Connection& connection, const Address& address, TimePoint deadline, asio::yield_context yield)
@@ -205,12 +277,13 @@
             result.limited = true;
             return nullptr;
         }
-        ++this->addressPools[address].open;
+        this->recordOpened(this->addressPools[address]);
         auto connection = std::make_unique<Connection>(this->context);
         if (auto error = this->open(*connection, address, exchangeOption.deadline, yield)) {
             const auto isTimeout = error == beast::error::timeout;
             result.error = isTimeout ? ExchangeError::ConnectTimeout : ExchangeError::ConnectFailed;
-            --this->addressPools[address].open;
+            this->recordClosed(this->addressPools[address], 1);
+            this->eraseIfForgotten(address);
             return nullptr;
         }
         auto error = beast::error_code {};
@@ -386,16 +459,28 @@
         // A large response has made the buffer grow; many idle connections would keep that memory.
         if (isReusable && connection->buffer.capacity() > maxIdleBufferBytes)
             connection->buffer.shrink_to_fit();
-        if (isReusable && addressPool.idle.size() < this->option.maxIdlePerAddress)
+        const auto isKept
+            = isReusable && !addressPool.isForgotten && addressPool.idle.size() < this->option.maxIdlePerAddress;
+        if (isKept)
             addressPool.idle.push_back(std::move(connection));
         else
-            --addressPool.open;
+            this->recordClosed(addressPool, 1);
+        this->eraseIfForgotten(address);
+    }
+
+    auto eraseIfForgotten(const Address& address) -> void
+    {
+        const auto found = this->addressPools.find(address);
+        if (found != this->addressPools.end() && found->second.isForgotten && found->second.open == 0)
+            this->addressPools.erase(found);
     }
 
     asio::io_context& context;
     const Clock& clock;
     HttpClientOption option;
     std::map<Address, AddressPool> addressPools;
+    std::size_t openConnectionCount = 0;
+    TimePoint nextExpiryAt {};
 };
 
 } // namespace
--- a/src/citronloft/edge/http_client_test.cpp
+++ b/src/citronloft/edge/http_client_test.cpp
@@ -299,6 +299,89 @@
     });
 }
 
+class ConnectionCountTest : public HttpClientTest {
+protected:
+    static auto script() -> RawServer::Script { return { response(200, "1", "x") }; }
+    static auto scripts() -> std::vector<RawServer::Script> { return std::vector<RawServer::Script>(8, script()); }
+
+    /// Sends a request on a new connection, which is idle afterwards.
+    auto open(const Address& address, boost::asio::yield_context yield) -> ExchangeError
+    {
+        auto option = ExchangeOption { .deadline = this->clock.now() + 5s, .maxIdleTime = {} };
+        return this->client->exchange(address, { "GET", "/x", {}, {} }, option, yield).error;
+    }
+
+    RawServer first { context, scripts() };
+    RawServer second { context, scripts() };
+};
+
+/// Guards against a process without file descriptors: each address alone is within its limit.
+TEST_F(ConnectionCountTest, LongestIdleIsClosedAtTheLimitOfAllAddresses)
+{
+    auto option = HttpClientOption {};
+    option.maxConnections = 3;
+    this->client = makeHttpClient(this->context, this->clock, option);
+    this->run([&](boost::asio::yield_context yield) {
+        EXPECT_EQ(this->open(this->first.address(), yield), ExchangeError::None);
+        for (auto i = 0; i < 4; ++i)
+            EXPECT_EQ(this->open(this->second.address(), yield), ExchangeError::None);
+        EXPECT_EQ(this->client->openConnections(this->first.address()), 0U);
+        EXPECT_EQ(this->client->openConnections(this->second.address()), 3U);
+    });
+}
+
+TEST_F(ConnectionCountTest, NoneIsOpenedWhileAllAreInUse)
+{
+    auto option = HttpClientOption {};
+    option.maxConnections = 1;
+    this->client = makeHttpClient(this->context, this->clock, option);
+    auto silent = RawServer(this->context, {});
+    this->run([&](boost::asio::yield_context yield) {
+        auto cancel = ExchangeCancel {};
+        boost::asio::spawn(
+            this->context,
+            [&](boost::asio::yield_context other) {
+                const auto exchangeOption = ExchangeOption { .deadline = this->clock.now() + 5s, .cancel = &cancel };
+                this->client->exchange(silent.address(), { "GET", "/x", {}, {} }, exchangeOption, other);
+            },
+            boost::asio::detached);
+        while (silent.requests.empty())
+            boost::asio::post(this->context, yield);
+        EXPECT_EQ(this->open(this->first.address(), yield), ExchangeError::ConnectFailed);
+        cancel.cancel();
+        while (this->client->openConnections(silent.address()) > 0)
+            boost::asio::post(this->context, yield);
+        EXPECT_EQ(this->open(this->first.address(), yield), ExchangeError::None);
+    });
+}
+
+/// Guards against connections to targets that have left, which nothing would ever close.
+TEST_F(ConnectionCountTest, ConnectionsToAForgottenAddressAreClosed)
+{
+    this->run([&](boost::asio::yield_context yield) {
+        this->open(this->first.address(), yield);
+        this->open(this->first.address(), yield);
+        this->client->forget(this->first.address());
+        EXPECT_EQ(this->client->openConnections(this->first.address()), 0U);
+        EXPECT_EQ(this->open(this->first.address(), yield), ExchangeError::None);
+        EXPECT_EQ(this->client->openConnections(this->first.address()), 1U) << "the address is in use again";
+    });
+}
+
+TEST_F(ConnectionCountTest, IdleConnectionIsClosedAfterSomeTime)
+{
+    auto option = HttpClientOption {};
+    option.maxIdleAge = 1s;
+    this->client = makeHttpClient(this->context, this->clock, option);
+    this->run([&](boost::asio::yield_context yield) {
+        this->open(this->first.address(), yield);
+        auto timer = boost::asio::steady_timer(this->context, 1100ms);
+        timer.async_wait(yield);
+        this->open(this->second.address(), yield);
+        EXPECT_EQ(this->client->openConnections(this->first.address()), 0U);
+    });
+}
+
 class EndlessAnswerTest : public HttpClientTest, public testing::WithParamInterface<CutCase> { };
 
 /// The peer sends many bytes and then keeps the connection open.
--- a/src/citronloft/edge/target_path_monitor_test.cpp
+++ b/src/citronloft/edge/target_path_monitor_test.cpp
@@ -30,6 +30,7 @@
     }
 
     auto closeIdle(const Address& /*address*/) -> void override { }
+    auto forget(const Address&) -> void override { }
 
     [[nodiscard]] auto openConnections(const Address& /*address*/) const -> std::size_t override { return 0; }
 
--- a/tests/fakes/cut_http_client.hpp
+++ b/tests/fakes/cut_http_client.hpp
@@ -80,6 +80,8 @@
 
     auto closeIdle(const Address& address) -> void override { this->client->closeIdle(address); }
 
+    auto forget(const Address& address) -> void override { this->client->forget(address); }
+
     [[nodiscard]] auto openConnections(const Address& address) const -> std::size_t override
     {
         return this->client->openConnections(address);
