Callers that send or read slowly but steadily are served

Cause: the deadlines for a body and for an answer were set once. Under pressure on memory an answer counted as stalled 2 s after its begin, while a caller that sent single bytes never did.

The deadlines of a connection have a class of their own (SessionDeadlines). Those for a body and an answer move on with each 16 KiB that the caller sends or takes; what the system still holds for a caller is not taken. The budget counts progress in the same way, so that single bytes are none.

--- a/include/citronloft/edge/http_server.hpp
+++ b/include/citronloft/edge/http_server.hpp
@@ -69,8 +69,10 @@
     /// Budget for what connections hold beside counted bodies, and for their number; null does not bound them.
     std::shared_ptr<ConnectionBudget> connectionBudget {};
     std::chrono::milliseconds idleTimeout { 60'000 };
-    /// Maximum time from the first to the last byte of a request.
+    /// Maximum time from the first byte of a request to the end of its header, and then for each
+    /// ConnectionBudget::progressBytes of its body.
     std::chrono::milliseconds requestTimeout { 10'000 };
+    /// Maximum time in which a caller takes ConnectionBudget::progressBytes of a response, or the rest of it.
     std::chrono::milliseconds writeTimeout { 10'000 };
     std::uint32_t connectionLimit = 20'000;
     /// Called with the result code of each request that the server refuses before it reaches the handler, or whose
--- a/include/citronloft/policy/connection_budget.hpp
+++ b/include/citronloft/policy/connection_budget.hpp
@@ -41,6 +41,9 @@
 
     /// Time without progress after which a connection may be closed to make room for any other one.
     static constexpr auto stallTimeout = std::chrono::seconds { 2 };
+    /// Bytes that have to be received or taken by the caller for a connection to have made progress, unless the request
+    /// or response ends. Connections that transfer single bytes are as good as silent.
+    static constexpr auto progressBytes = std::size_t { 16 } * 1024;
     /// Part of the memory that is left for the bodies of responses, as its reciprocal.
     static constexpr auto responseShareDivisor = std::size_t { 4 };
 
--- a/src/citronloft/edge/http_session.cpp
+++ b/src/citronloft/edge/http_session.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
+#include <sys/ioctl.h>
 
 #include "citronloft/base/log.hpp"
 #include "http_read.hpp"
@@ -21,9 +22,6 @@
 constexpr auto readSize = std::size_t { 4096 };
 /// Maximum number of unanswered requests of one connection.
 constexpr auto maxPendingRequests = std::size_t { 32 };
-/// Time allowed for the caller to close its side after the last response. Closing earlier could reset the connection if
-/// bytes from the caller are still in transit, and the response would be lost.
-constexpr auto lingerTimeout = std::chrono::seconds { 1 };
 /// Maximum memory of a connection's unanswered requests, and of their responses, at which another one is read.
 constexpr auto maxReadAheadBytes = std::size_t { 512 } * 1024;
 /// Memory of a connection without requests: the used part of its coroutine's stack, and its objects.
@@ -112,6 +110,7 @@
     : sessionContext(std::move(sessionContext))
     , socket(std::move(socket))
     , pendingLimitTimer(this->sessionContext->context)
+    , deadlines(this->sessionContext->option)
 {
     auto error = beast::error_code {};
     const auto endpoint = this->socket.remote_endpoint(error);
@@ -159,9 +158,10 @@
 
 auto HttpSession::closeIfOverdue(TimePoint now) -> void
 {
+    if (this->isWriting && !this->isClosed)
+        this->recordTaken(now);
     auto ignored = beast::error_code {};
-    const auto isIdleTooLong = this->unansweredRequests() == 0 && now >= this->idleDeadline;
-    if (isIdleTooLong || now >= this->readDeadline || now >= this->writeDeadline || now >= this->lingerDeadline)
+    if (this->deadlines.isOverdue(now, this->unansweredRequests() == 0))
         this->socket.close(ignored);
 }
 
@@ -177,7 +177,7 @@
     const auto keepsAlive = !error && parser->keep_alive();
     // A refusal may have to wait for the responses before it; the request must not take memory meanwhile.
     parser.reset();
-    this->readDeadline = TimePoint::max();
+    this->deadlines.endRequest();
     this->isReading = false;
     this->readingBytes = 0;
     this->fieldBytes = 0;
@@ -225,7 +225,7 @@
 {
     if (this->buffer.size() > 0)
         return true;
-    this->idleDeadline = now() + this->sessionContext->option.idleTimeout;
+    this->deadlines.beginIdle(now());
     this->updateState();
     auto error = beast::error_code {};
     const auto size = this->socket.async_read_some(this->buffer.prepare(readSize), yield[error]);
@@ -242,7 +242,9 @@
     parser.header_limit(option.headerLimitBytes);
     parser.body_limit(option.bodyLimitBytes);
     this->buffer.max_size(std::max<std::size_t>(maxUnparsedBytes, option.headerLimitBytes + readSize));
-    this->readDeadline = now() + option.requestTimeout;
+    this->deadlines.beginRequest(now());
+    if (this->account)
+        this->account->recordProgress(ConnectionState::Receiving, now());
     if (const auto error
         = readHeader(this->socket, this->buffer, parser, yield, [&] { return this->recordReceived(parser, 0, yield); }))
         return error;
@@ -269,10 +271,12 @@
 /// @return whether there is room for it.
 auto HttpSession::recordReceived(const Parser& parser, std::size_t reservedBytes, asio::yield_context yield) -> bool
 {
+    const auto& message = parser.get();
+    const auto hasProgressed = this->deadlines.recordBody(message.body().size(), now());
     if (!this->account)
         return true;
-    const auto& message = parser.get();
-    this->account->recordProgress(ConnectionState::Receiving, now());
+    if (hasProgressed)
+        this->account->recordProgress(ConnectionState::Receiving, now());
     if (!parser.is_header_done() || this->fieldBytes == 0)
         this->fieldBytes = estimateFieldBytes(message, parsedFieldBytes);
     this->readingBytes = this->fieldBytes + uncountedPartOf(message.body().capacity());
@@ -349,6 +353,21 @@
         this->buffer.shrink_to_fit();
 }
 
+/// Bytes that the system still holds for the caller have not been taken.
+auto HttpSession::takenBytes() -> std::size_t
+{
+    auto unsent = 0;
+    if (ioctl(this->socket.native_handle(), TIOCOUTQ, &unsent) != 0)
+        return this->writtenBytes;
+    return this->writtenBytes - std::min(this->writtenBytes, static_cast<std::size_t>(std::max(unsent, 0)));
+}
+
+auto HttpSession::recordTaken(TimePoint now) -> void
+{
+    if (this->deadlines.recordTaken(this->takenBytes(), now) && this->account)
+        this->account->recordProgress(ConnectionState::Sending, now);
+}
+
 auto HttpSession::writeContinue(asio::yield_context yield) -> void
 {
     auto error = beast::error_code {};
@@ -443,11 +462,15 @@
     this->updateState();
     if (this->account)
         this->account->recordProgress(ConnectionState::Sending, now());
-    this->writeDeadline = now() + this->sessionContext->option.writeTimeout;
+    this->deadlines.beginResponse(this->writtenBytes, now());
     auto error = beast::error_code {};
-    http::async_write(this->socket, *pendingRequest.response, yield[error]);
-    this->writeDeadline = TimePoint::max();
-    this->idleDeadline = now() + this->sessionContext->option.idleTimeout;
+    auto serializer = http::response_serializer<http::string_body> { *pendingRequest.response };
+    while (!error && !serializer.is_done()) {
+        this->writtenBytes += http::async_write_some(this->socket, serializer, yield[error]);
+        if (!serializer.is_done() && !this->isClosed)
+            this->recordTaken(now());
+    }
+    this->deadlines.endResponse(now());
     if (this->isClosed)
         return false;
     this->pendingRequests.pop_front();
@@ -459,7 +482,7 @@
     }
     if (!isLast)
         return true;
-    this->lingerDeadline = now() + lingerTimeout;
+    this->deadlines.beginLinger(now());
     this->socket.shutdown(Tcp::socket::shutdown_send, error);
     return false;
 }
--- a/src/citronloft/edge/http_session.hpp
+++ b/src/citronloft/edge/http_session.hpp
@@ -14,6 +14,7 @@
 #include "citronloft/base/clock.hpp"
 #include "citronloft/edge/coroutine.hpp"
 #include "citronloft/edge/http_server.hpp"
+#include "session_deadlines.hpp"
 
 namespace citronloft {
 
@@ -84,6 +85,8 @@
     auto updateState() -> void;
     [[nodiscard]] auto heldBytes() const -> std::size_t;
     auto shrinkBuffer() -> void;
+    auto recordTaken(TimePoint now) -> void;
+    [[nodiscard]] auto takenBytes() -> std::size_t;
     auto writeContinue(boost::asio::yield_context yield) -> void;
     auto startHandler(HttpRequest&& request, bool keepsAlive) -> bool;
     auto sendRefusal(ResultCode code, boost::asio::yield_context yield) -> void;
@@ -113,10 +116,9 @@
     /// No further request is read from this connection.
     bool isReadingStopped = false;
     bool isClosed = false;
-    TimePoint idleDeadline = TimePoint::max();
-    TimePoint readDeadline = TimePoint::max();
-    TimePoint writeDeadline = TimePoint::max();
-    TimePoint lingerDeadline = TimePoint::max();
+    SessionDeadlines deadlines;
+    /// Bytes that have been passed to the socket.
+    std::size_t writtenBytes = 0;
 };
 
 } // namespace citronloft
