Bound all memory of a host, unread bytes included

Callers saw: with clients that behave badly in several ways at once the process needed more than its machine has, and with thousands of requests ahead on each connection ordinary callers got no answer. Cause: bytes that the system has received for a connection that is not read count as the host's, up to megabytes each, and nothing bounded them. What is not in the accounts (stacks, pages of freed memory, what is being written) was as large as what is. Nor was a single body above 30 % of the memory taken.

- The budget is one for the whole process: what is resident beside the accounts is measured and reduces what connections may hold.
Charged bytes that are not resident yet (unread bytes, room for a body) are kept apart.
Where the system does not tell the resident memory, two fifths of the memory are for connections, as before.
- Connections have small receive buffers, by memory and number of connections, larger ones while a body is read and memory is not short.
The bytes that a connection may leave unread are charged while it is not read.
- Stacks of coroutines are mapped, reused up to a number and else returned; large blocks are returned when they are freed, freed pages when the memory beside the connections has grown.
- The buffer of a body of unknown length grows in steps to the limit, so that the last copy needs no more than the body.
- How a host divides memory and descriptors is in one place (ResourceLimits); the limits for targets' and peers' connections are set there.

Ruled out: a limit for each connection (less than a legal header), estimates alone (freed pages and fragments depend on what came before).

--- a/include/citronloft/edge/body_memory.hpp
+++ b/include/citronloft/edge/body_memory.hpp
@@ -28,13 +28,15 @@
         , kind(kind)
     {
     }
-    ~BodyReservation() { this->resize(0); }
+    ~BodyReservation() { this->resize(0, 0); }
     BodyReservation(const BodyReservation&) = delete;
     auto operator=(const BodyReservation&) -> BodyReservation& = delete;
 
-    /// @brief Sets the size of the body.
+    /// @brief Sets the size of the body's buffer.
+    /// @param filledBytes the part that has been written, so that it is resident.
     /// @return whether there is room for it; if not, the reservation does not change.
-    auto resize(std::size_t bodyBytes) -> bool;
+    auto resize(std::size_t bufferBytes, std::size_t filledBytes) -> bool;
+    auto resize(std::size_t filledBytes) -> bool { return this->resize(filledBytes, filledBytes); }
 
     /// @return the memory that is counted.
     [[nodiscard]] auto bytes() const -> std::size_t { return this->reserved; }
@@ -43,6 +45,8 @@
     std::shared_ptr<BodyMemory> memory;
     BodyKind kind;
     std::size_t reserved = 0;
+    /// Part of the reserved memory that has not been written.
+    std::size_t absent = 0;
 };
 
 } // namespace citronloft
--- a/include/citronloft/edge/coroutine.hpp
+++ b/include/citronloft/edge/coroutine.hpp
@@ -10,6 +10,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 
+#include "citronloft/edge/coroutine_stacks.hpp"
+
 namespace citronloft {
 
 /// @brief Logs an exception that no code expected.
@@ -25,7 +27,7 @@
 template <typename Function>
 auto startCoroutine(boost::asio::io_context& context, const char* name, Function&& function) -> void
 {
-    boost::asio::spawn(context, std::forward<Function>(function),
+    boost::asio::spawn(context, std::allocator_arg, CoroutineStacks {}, std::forward<Function>(function),
         [name](const std::exception_ptr& failure) { logException(name, failure); });
 }
 
--- a/include/citronloft/edge/http_server.hpp
+++ b/include/citronloft/edge/http_server.hpp
@@ -74,6 +74,9 @@
     std::chrono::milliseconds requestTimeout { 10'000 };
     /// Maximum time in which a caller takes ConnectionBudget::progressBytes of a response, or the rest of it.
     std::chrono::milliseconds writeTimeout { 10'000 };
+    /// Receive buffer of each connection in bytes; larger ones are used while a body is read and memory is not short.
+    /// 0 keeps the system's default, which lets a connection that is not read fill megabytes.
+    std::size_t receiveBufferBytes = 0;
     std::uint32_t connectionLimit = 20'000;
     /// Called with the result code of each request that the server refuses before it reaches the handler, or whose
     /// handler throws.
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -2,12 +2,10 @@
 
 #include <algorithm>
 #include <array>
-#include <limits>
-
-#include <sys/resource.h>
 
 #include "citronloft/base/digest.hpp"
 #include "citronloft/edge/http_object_store.hpp"
+#include "citronloft/edge/process_memory.hpp"
 #include "components.hpp"
 #include "platform.hpp"
 
@@ -33,15 +31,8 @@
 constexpr auto usesZoneReaders = false;
 /// Interval at which a zone's reader repeats what it has announced, since notices can be lost.
 constexpr auto changeNoticeInterval = std::chrono::milliseconds { 1000 };
-/// Fraction of the host's memory that connections may hold, bodies of requests and answers included. The rest is needed
-/// by the host itself, and twice for a body while its buffer grows.
-constexpr auto heldMemoryFraction = 0.4;
-/// Three quarters of the file descriptors, less a fixed number, are for callers; connections to targets, whose number
-/// grows with the load, use the rest.
-constexpr auto callerFdShare = std::size_t { 3 };
-constexpr auto fdDivisor = std::size_t { 4 };
-/// Listening sockets, the log, and connections to the store and other hosts.
-constexpr auto reservedFds = std::size_t { 64 };
+/// Interval at which the memory of the process is measured, besides measurements while it grows.
+constexpr auto memoryInterval = std::chrono::milliseconds { 100 };
 constexpr auto bytesPerMegabyte = 1e6;
 constexpr auto exitClean = 0;
 constexpr auto exitFailed = 1;
@@ -54,24 +45,14 @@
     return name == "zone" ? LendingStrategy::Zone : LendingStrategy::Fleet;
 }
 
-/// @return the number of connections that leaves file descriptors for targets, the store and other hosts.
-auto connectionLimitOf(const HostSettings& settings) -> std::size_t
+/// @return a budget for all that the process holds or, if that cannot be measured, for what its connections hold.
+auto makeConnectionBudget(const ResourceLimits& limits, bool isMeasured) -> std::shared_ptr<ConnectionBudget>
 {
-    auto limit = rlimit {};
-    auto fds = std::size_t { settings.maxFds };
-    if (fds == 0 && getrlimit(RLIMIT_NOFILE, &limit) == 0)
-        fds = limit.rlim_cur;
-    const auto callerFds = fds / fdDivisor * callerFdShare;
-    return callerFds - std::min(callerFds / 2, reservedFds);
-}
-
-/// @return a budget without a limit on memory if the settings state none.
-auto makeConnectionBudget(const HostSettings& settings) -> std::shared_ptr<ConnectionBudget>
-{
-    const auto bytes = settings.memoryMb > 0
-        ? static_cast<std::size_t>(settings.memoryMb * bytesPerMegabyte * heldMemoryFraction)
-        : std::numeric_limits<std::size_t>::max();
-    return std::make_shared<ConnectionBudget>(bytes, connectionLimitOf(settings));
+    auto budget = std::make_shared<ConnectionBudget>(
+        isMeasured ? limits.processBytes : limits.connectionBytes, limits.callerConnections);
+    if (isMeasured)
+        budget->setMeter([] { return residentBytes().value_or(0); });
+    return budget;
 }
 
 auto makeHostEntry(const HostSettings& settings, std::uint64_t incarnation) -> HostEntry
@@ -94,7 +75,9 @@
     , onStopped(std::move(onStopped))
     , incarnation(randomId() | 1U)
     , lifecycle(makeHostLifecycle())
-    , connectionBudget(makeConnectionBudget(this->settings))
+    , limits(resourceLimitsOf(this->settings))
+    , connectionBudget(makeConnectionBudget(this->limits, this->settings.memoryMb > 0 && residentBytes().has_value()))
+    , memoryTrimmer(this->limits.processBytes)
 {
     if (this->settings.memoryMb > 0)
         this->bodyMemory = this->connectionBudget;
@@ -122,7 +105,8 @@
         LogEvent(LogLevel::Info, "host-started")
             .with("zone", this->settings.zone)
             .with("ip", this->settings.ip)
-            .with("placement", this->settings.placement);
+            .with("placement", this->settings.placement)
+            .with("resident_bytes", residentBytes().value_or(0));
     return status;
 }
 
@@ -168,6 +152,7 @@
     option.fleetSecret = this->settings.fleetSecret;
     option.httpClient = this->httpClient;
     option.client.bodyMemory = this->bodyMemory;
+    option.client.maxConnections = this->limits.targetConnections;
     option.queue = this->settings.queue == "fifo" ? QueueStrategy::Fifo : QueueStrategy::Fair;
     if (!this->usesAdapter())
         return option;
@@ -360,8 +345,23 @@
     this->gateway->refreshLookups();
 }
 
+auto Host::measureMemory(TimePoint now) -> void
+{
+    if (this->settings.memoryMb <= 0 || now < this->nextMemoryMeasureAt)
+        return;
+    this->nextMemoryMeasureAt = now + memoryInterval;
+    this->connectionBudget->measure();
+    if (!this->memoryTrimmer.isDue(this->connectionBudget->overheadBytes(), now))
+        return;
+    returnFreeMemory();
+    this->connectionBudget->measure();
+    this->memoryTrimmer.recordTrimmed(this->connectionBudget->overheadBytes(), now);
+    this->metrics.count("citronloft_memory_trims_total");
+}
+
 auto Host::onTick() -> void
 {
+    this->measureMemory(this->clock.now());
     this->fleet->tick();
     this->gateway->tick();
     if (this->discovery) {
--- a/programs/citronloftd/host.hpp
+++ b/programs/citronloftd/host.hpp
@@ -17,7 +17,9 @@
 #include "citronloft/edge/supervisor.hpp"
 #include "citronloft/edge/udp_transport.hpp"
 #include "citronloft/policy/host_lifecycle.hpp"
+#include "citronloft/policy/memory_trimmer.hpp"
 #include "citronloft/policy/stop_window.hpp"
+#include "resource_limits.hpp"
 
 namespace citronloft {
 
@@ -63,6 +65,7 @@
     [[nodiscard]] auto serveFeed(const FeedRequest& request) const -> absl::StatusOr<ObjectBatch>;
     [[nodiscard]] auto usesAdapter() const -> bool { return this->settings.adapter != "objects"; }
     auto onConfig(const std::shared_ptr<const ActiveConfig>& active) -> void;
+    auto measureMemory(TimePoint now) -> void;
     auto onTick() -> void;
     auto advanceStop(TimePoint now) -> void;
     auto shutDown(int exitCode) -> void;
@@ -81,8 +84,11 @@
     std::unique_ptr<HostLifecycle> lifecycle;
     /// Bound on the bodies of all requests and answers; null if the settings state none.
     std::shared_ptr<BodyMemory> bodyMemory;
+    ResourceLimits limits;
     /// Bound on what the connections of all ports hold; the same object as bodyMemory if the settings state the memory.
     std::shared_ptr<ConnectionBudget> connectionBudget;
+    MemoryTrimmer memoryTrimmer;
+    TimePoint nextMemoryMeasureAt {};
     LogLimiter connectionLogLimiter;
     Platform platform;
     std::shared_ptr<ZoneFeed> zoneFeed;
--- a/programs/citronloftd/main.cpp
+++ b/programs/citronloftd/main.cpp
@@ -14,6 +14,7 @@
 
 #include "citronloft/base/log.hpp"
 #include "citronloft/edge/coroutine.hpp"
+#include "citronloft/edge/process_memory.hpp"
 #include "host.hpp"
 
 namespace {
@@ -165,6 +166,7 @@
         return exitUsage;
     if (values.contains("check"))
         return 0;
+    citronloft::returnLargeBlocksWhenFreed();
     citronloft::openLog(settings->logPath, settings->logLevel);
     std::signal(SIGPIPE, SIG_IGN);
     const auto exitCode = run(*settings, values["settings"].as<std::string>());
--- a/src/citronloft/edge/body_memory.cpp
+++ b/src/citronloft/edge/body_memory.cpp
@@ -4,16 +4,19 @@
 
 namespace citronloft {
 
-auto BodyReservation::resize(std::size_t bodyBytes) -> bool
+auto BodyReservation::resize(std::size_t bufferBytes, std::size_t filledBytes) -> bool
 {
     if (!this->memory)
         return true;
-    const auto counted = bodyBytes - std::min(bodyBytes, uncountedBytes);
+    const auto counted = bufferBytes - std::min(bufferBytes, uncountedBytes);
     const auto isGranted = this->kind == BodyKind::Request ? this->memory->resizeRequestBody(this->reserved, counted)
                                                            : this->memory->resizeResponseBody(this->reserved, counted);
     if (!isGranted)
         return false;
     this->reserved = counted;
+    const auto unfilled = std::min(counted, bufferBytes - std::min(bufferBytes, filledBytes));
+    this->memory->changeAbsentBytes(this->absent, unfilled);
+    this->absent = unfilled;
     return true;
 }
 
--- a/src/citronloft/edge/http_client.cpp
+++ b/src/citronloft/edge/http_client.cpp
@@ -434,7 +434,8 @@
         if (relation == Relation::Other)
             return discardBody(connection.stream, connection.buffer, parser, yield);
         response.reservation = std::make_shared<BodyReservation>(this->option.bodyMemory);
-        if (const auto error = readBody(connection.stream, connection.buffer, parser, *response.reservation, yield))
+        if (const auto error = readBody(connection.stream, connection.buffer, parser, *response.reservation,
+                this->option.bodyLimitBytes, yield))
             return error;
         response.body = std::move(parser.get().body());
         return {};
--- a/src/citronloft/edge/http_read.hpp
+++ b/src/citronloft/edge/http_read.hpp
@@ -17,6 +17,10 @@
 
 namespace citronloft {
 
+/// Maximum number of bytes of one read.
+inline constexpr auto maxReadBytes = std::size_t { 64 } * 1024;
+/// Size from which the buffer of a body without a known length grows in steps.
+inline constexpr auto minSteppedBytes = std::size_t { 32 } * 1024;
 /// Maximum number of received bytes that are not yet parsed, such as the line of a chunk size or a trailer. The parser
 /// throws at fields of 64 KiB.
 inline constexpr auto maxUnparsedBytes = std::size_t { 63 } * 1024;
@@ -48,7 +52,7 @@
 template <typename Stream, typename Parser, typename OnParsed>
 auto readUntil(Stream& stream, boost::beast::flat_buffer& buffer, Parser& parser,
     std::type_identity_t<bool (Parser::*)() const> isRead, boost::asio::yield_context yield, OnParsed onParsed,
-    std::size_t maxReadBytes = std::size_t { 65536 }) -> boost::beast::error_code
+    std::size_t maxBytes = maxReadBytes) -> boost::beast::error_code
 {
     while (!(parser.*isRead)()) {
         auto error = parseBuffered(buffer, parser);
@@ -58,7 +62,7 @@
             return boost::asio::error::no_memory;
         if (!error)
             continue;
-        const auto room = boost::beast::read_size(buffer, maxReadBytes);
+        const auto room = boost::beast::read_size(buffer, maxBytes);
         if (room == 0)
             return boost::beast::http::error::buffer_overflow;
         error = {};
@@ -84,8 +88,8 @@
     OnParsed onParsed) -> boost::beast::error_code
 {
     parser.eager(false);
-    constexpr auto maxReadBytes = std::size_t { 4096 };
-    return readUntil(stream, buffer, parser, &Parser::is_header_done, yield, onParsed, maxReadBytes);
+    constexpr auto maxHeaderReadBytes = std::size_t { 4096 };
+    return readUntil(stream, buffer, parser, &Parser::is_header_done, yield, onParsed, maxHeaderReadBytes);
 }
 
 /// @brief Reads a message's header without a limit on memory.
@@ -97,25 +101,51 @@
     return readUntil(stream, buffer, parser, &Parser::is_header_done, yield, [] { return true; });
 }
 
+/// @brief Makes room for the next bytes of a body whose length is not known.
+///
+/// The sizes of the buffer are the limit divided by powers of two. The last copy, of half of the limit into a new
+/// buffer, then needs no more memory than the largest body.
+/// @return whether there is room.
+template <typename Parser> auto growBody(Parser& parser, BodyReservation& reservation, std::size_t limitBytes) -> bool
+{
+    auto& body = parser.get().body();
+    const auto needed = body.size() + maxReadBytes;
+    if (!parser.chunked() || body.size() < minSteppedBytes || needed <= body.capacity())
+        return true;
+    auto step = limitBytes;
+    while (step / 2 >= needed)
+        step /= 2;
+    if (step <= body.capacity())
+        return true;
+    if (!reservation.resize(step, 2 * body.size()))
+        return false;
+    body.reserve(step);
+    return reservation.resize(body.capacity(), body.size());
+}
+
 /// @brief Reads the rest of a message after its header.
+/// @param limitBytes the parser's limit on the body; growBody() uses it.
 /// @return no_memory if there is no room for the body.
 /// @param onParsed as in readUntil().
 template <typename Stream, typename Parser, typename OnParsed>
 auto readBody(Stream& stream, boost::beast::flat_buffer& buffer, Parser& parser, BodyReservation& reservation,
-    boost::asio::yield_context yield, OnParsed onParsed) -> boost::beast::error_code
+    std::size_t limitBytes, boost::asio::yield_context yield, OnParsed onParsed) -> boost::beast::error_code
 {
     parser.eager(true);
-    return readUntil(stream, buffer, parser, &Parser::is_done, yield,
-        [&] { return onParsed() && reservation.resize(parser.get().body().capacity()); });
+    return readUntil(stream, buffer, parser, &Parser::is_done, yield, [&] {
+        const auto& body = parser.get().body();
+        return onParsed() && reservation.resize(body.capacity(), body.size())
+            && growBody(parser, reservation, limitBytes);
+    });
 }
 
 /// @brief Reads the rest of a message after its header; only the body is limited.
 /// @return no_memory if there is no room for the body.
 template <typename Stream, typename Parser>
 auto readBody(Stream& stream, boost::beast::flat_buffer& buffer, Parser& parser, BodyReservation& reservation,
-    boost::asio::yield_context yield) -> boost::beast::error_code
+    std::size_t limitBytes, boost::asio::yield_context yield) -> boost::beast::error_code
 {
-    return readBody(stream, buffer, parser, reservation, yield, [] { return true; });
+    return readBody(stream, buffer, parser, reservation, limitBytes, yield, [] { return true; });
 }
 
 /// @brief Reads the rest of a message after its header without keeping the body.
--- a/src/citronloft/edge/http_server.cpp
+++ b/src/citronloft/edge/http_server.cpp
@@ -39,7 +39,8 @@
 
     auto listen(const Address& address) -> absl::Status
     {
-        if (const auto status = listenOn(this->acceptor, address); !status.ok())
+        if (const auto status = listenOn(this->acceptor, address, this->sessionContext->option.receiveBufferBytes);
+            !status.ok())
             return status;
         startCoroutine(this->sessionContext->context, "http-accept",
             [self = this->shared_from_this()](asio::yield_context yield) { self->accept(yield); });
--- a/src/citronloft/edge/http_session.cpp
+++ b/src/citronloft/edge/http_session.cpp
@@ -22,18 +22,10 @@
 constexpr auto readSize = std::size_t { 4096 };
 /// Maximum number of unanswered requests of one connection.
 constexpr auto maxPendingRequests = std::size_t { 32 };
-/// Maximum memory of a connection's unanswered requests, and of their responses, at which another one is read.
-constexpr auto maxReadAheadBytes = std::size_t { 512 } * 1024;
-/// Memory of a connection without requests: the used part of its coroutine's stack, and its objects.
-constexpr auto connectionBytes = std::size_t { 16 } * 1024;
-/// Memory of a request beside its contents: the used part of its handler's stack, and its objects.
-constexpr auto pendingRequestBytes = std::size_t { 32 } * 1024;
-/// Memory of a parsed field beside its characters: the parser's entry, and one of HeaderFields, whose capacity may be
-/// twice its size.
-constexpr auto parsedFieldBytes = std::size_t { 224 };
-/// Memory of a forwarded field: in HeaderFields of the request and of its copy for the target, and in the client's
-/// message.
-constexpr auto pendingFieldBytes = std::size_t { 352 };
+/// Receive buffer while a body is read: what a fast caller sends within a round trip of some milliseconds.
+constexpr auto bodyReceiveBufferBytes = std::size_t { 64 } * 1024;
+/// Maximum of the unread bytes of a connection as a multiple of its receive buffer (Linux).
+constexpr auto unreadPerReceiveBuffer = std::size_t { 2 };
 /// Time in which bodies that take all memory are usually passed on.
 constexpr auto memoryRetryAfter = std::chrono::milliseconds { 1000 };
 
@@ -80,28 +72,6 @@
     return response;
 }
 
-/// Estimates the memory of parsed fields, whose short ones take many times their size.
-auto estimateFieldBytes(const http::fields& fields, std::size_t fieldBytes) -> std::size_t
-{
-    auto sum = std::size_t { 0 };
-    for (const auto& field : fields)
-        sum += fieldBytes + 2 * (field.name_string().size() + field.value().size());
-    return sum;
-}
-
-auto estimateFieldBytes(const HeaderFields& fields, std::size_t fieldBytes) -> std::size_t
-{
-    auto sum = std::size_t { 0 };
-    for (const auto& field : fields)
-        sum += fieldBytes + 2 * (field.name.size() + field.value.size());
-    return sum;
-}
-
-auto uncountedPartOf(std::size_t bodyBytes) -> std::size_t
-{
-    return std::min(bodyBytes, BodyReservation::uncountedBytes);
-}
-
 auto now() -> TimePoint { return std::chrono::steady_clock::now(); }
 
 } // namespace
@@ -120,11 +90,9 @@
 
 auto HttpSession::openAccount() -> void
 {
-    if (const auto& budget = this->sessionContext->option.connectionBudget) {
-        this->account.emplace(budget, now(), [this] { this->closeConnection(); });
-        if (!this->account->resize(this->heldBytes()))
-            this->closeConnection();
-    }
+    const auto& budget = this->sessionContext->option.connectionBudget;
+    if (!this->account.open(budget, now(), [this] { this->closeConnection(); }))
+        this->closeConnection();
 }
 
 auto HttpSession::runUntilClosed(asio::yield_context yield) -> void
@@ -179,17 +147,19 @@
     parser.reset();
     this->deadlines.endRequest();
     this->isReading = false;
-    this->readingBytes = 0;
-    this->fieldBytes = 0;
+    this->account.endReading();
     this->shrinkBuffer();
     if (this->isClosed)
         return false;
-    if (!error && !this->reservePending(request))
-        error = asio::error::no_memory;
+    auto held = std::optional<SessionAccount::Pending> {};
+    if (!error) {
+        held = this->account.reservePending(request);
+        if (!held)
+            error = asio::error::no_memory;
+    }
     if (!error)
-        return this->startHandler(std::move(request), keepsAlive);
+        return this->startHandler(std::move(request), *held, keepsAlive);
     request = {};
-    this->readingBytes = 0;
     this->updateState();
     if (isRefusal(error)) {
         this->sendRefusal(resultCodeOf(error), yield);
@@ -199,13 +169,19 @@
     return false;
 }
 
+/// While the connection is not read, the system holds what its receive buffer takes.
 auto HttpSession::waitForPendingLimit(asio::yield_context yield) -> bool
 {
     auto ignored = beast::error_code {};
+    const auto buffer
+        = this->isReceiveBufferEnlarged ? bodyReceiveBufferBytes : this->sessionContext->option.receiveBufferBytes;
     while (!this->mayReadAhead() && !this->isClosed) {
+        this->account.setUnreadBytes(unreadPerReceiveBuffer * buffer);
         this->pendingLimitTimer.expires_at(TimePoint::max());
         this->pendingLimitTimer.async_wait(yield[ignored]);
     }
+    if (!this->isReceiveBufferEnlarged)
+        this->account.setUnreadBytes(0);
     return !this->isClosed && !this->isReadingStopped;
 }
 
@@ -213,11 +189,7 @@
 {
     if (this->pendingRequests.empty())
         return true;
-    if (this->pendingRequests.size() >= maxPendingRequests)
-        return false;
-    return !this->account
-        || (this->pendingBytes + this->pendingReservedBytes < maxReadAheadBytes
-            && this->sessionContext->option.connectionBudget->allowsReadAhead());
+    return this->pendingRequests.size() < maxPendingRequests && this->account.allowsReadAhead();
 }
 
 /// @return whether a request has begun and should be read.
@@ -230,6 +202,10 @@
     auto error = beast::error_code {};
     const auto size = this->socket.async_read_some(this->buffer.prepare(readSize), yield[error]);
     this->buffer.commit(size);
+    this->account.setBufferBytes(this->buffer.capacity());
+    // The system has no further bytes, so that the smaller buffer bounds what is unread.
+    if (size < readSize)
+        this->restoreReceiveBuffer();
     if (error)
         this->closeConnection();
     return !error && !this->isReadingStopped;
@@ -243,10 +219,9 @@
     parser.body_limit(option.bodyLimitBytes);
     this->buffer.max_size(std::max<std::size_t>(maxUnparsedBytes, option.headerLimitBytes + readSize));
     this->deadlines.beginRequest(now());
-    if (this->account)
-        this->account->recordProgress(ConnectionState::Receiving, now());
+    this->account.recordProgress(ConnectionState::Receiving, now());
     if (const auto error
-        = readHeader(this->socket, this->buffer, parser, yield, [&] { return this->recordReceived(parser, 0, yield); }))
+        = readHeader(this->socket, this->buffer, parser, yield, [&] { return this->recordHeader(parser, yield); }))
         return error;
     const auto& message = parser.get();
     if (hasAmbiguousLength(message))
@@ -260,90 +235,65 @@
     if (expectsContinue && this->pendingRequests.empty())
         this->writeContinue(yield);
     request.reservation = std::make_shared<BodyReservation>(option.bodyMemory, BodyKind::Request);
-    const auto recordBody = [&] { return this->recordReceived(parser, request.reservation->bytes(), yield); };
-    if (const auto error = readBody(this->socket, this->buffer, parser, *request.reservation, yield, recordBody))
+    this->enlargeReceiveBuffer(parser);
+    const auto recordBody = [&] { return this->recordBody(parser, request.reservation->bytes(), yield); };
+    if (const auto error
+        = readBody(this->socket, this->buffer, parser, *request.reservation, option.bodyLimitBytes, yield, recordBody))
         return error;
     request.body = std::move(parser.get().body());
     return {};
 }
 
-/// Counts what has been received of a request.
+/// Counts the received part of a header.
 /// @return whether there is room for it.
-auto HttpSession::recordReceived(const Parser& parser, std::size_t reservedBytes, asio::yield_context yield) -> bool
+auto HttpSession::recordHeader(const Parser& parser, asio::yield_context yield) -> bool
 {
-    const auto& message = parser.get();
-    const auto hasProgressed = this->deadlines.recordBody(message.body().size(), now());
-    if (!this->account)
-        return true;
-    if (hasProgressed)
-        this->account->recordProgress(ConnectionState::Receiving, now());
-    if (!parser.is_header_done() || this->fieldBytes == 0)
-        this->fieldBytes = estimateFieldBytes(message, parsedFieldBytes);
-    this->readingBytes = this->fieldBytes + uncountedPartOf(message.body().capacity());
-    this->account->setBodyBytes(this->pendingReservedBytes + reservedBytes);
-    if (!this->account->resize(this->heldBytes()))
+    this->account.setBufferBytes(this->buffer.capacity());
+    if (!this->account.recordHeader(parser.get()))
         return false;
-    // Connections closed to make room return their memory in the next turn of the event loop. Many connections that
-    // grow within one turn would exceed the budget.
-    if (this->sessionContext->option.connectionBudget->isAwaitingReturns())
-        asio::post(this->sessionContext->context, yield);
+    this->waitForReturns(yield);
     return true;
 }
 
-/// Counts a request that is going to run.
+/// Counts the received part of a body.
 /// @return whether there is room for it.
-auto HttpSession::reservePending(const HttpRequest& request) -> bool
+auto HttpSession::recordBody(const Parser& parser, std::size_t reservedBytes, asio::yield_context yield) -> bool
 {
-    if (!this->account)
-        return true;
-    this->readingBytes = pendingRequestBytes + estimateFieldBytes(request.fields, pendingFieldBytes)
-        + uncountedPartOf(request.body.capacity());
-    return this->account->resize(this->heldBytes());
+    const auto& body = parser.get().body();
+    if (this->deadlines.recordBody(body.size(), now()))
+        this->account.recordProgress(ConnectionState::Receiving, now());
+    this->account.setBufferBytes(this->buffer.capacity());
+    if (!this->account.recordBody(body.capacity(), reservedBytes))
+        return false;
+    this->waitForReturns(yield);
+    return true;
 }
 
-/// Counts a response instead of its request.
-auto HttpSession::recordResponse(PendingRequest& pendingRequest) -> void
+/// Connections closed to make room return their memory in the next turn of the event loop. Many connections that grow
+/// within one turn would exceed the budget.
+auto HttpSession::waitForReturns(asio::yield_context yield) -> void
 {
-    if (!this->account)
-        return;
-    const auto& response = *pendingRequest.response;
-    const auto bytes = estimateFieldBytes(response, parsedFieldBytes) + uncountedPartOf(response.body().capacity());
-    this->pendingBytes += bytes - pendingRequest.heldBytes;
-    pendingRequest.heldBytes = bytes;
-    if (pendingRequest.reservation)
-        this->pendingReservedBytes += pendingRequest.reservation->bytes();
-    this->account->forceResize(this->heldBytes());
-    this->account->setBodyBytes(this->pendingReservedBytes);
+    if (this->account.isAwaitingReturns())
+        asio::post(this->sessionContext->context, yield);
 }
 
-/// Returns what a response held after it has been written.
-auto HttpSession::releasePending(const PendingRequest& pendingRequest) -> void
+/// Counts a response instead of its request.
+auto HttpSession::recordResponse(PendingRequest& pendingRequest) -> void
 {
-    if (!this->account)
-        return;
-    this->pendingBytes -= pendingRequest.heldBytes;
-    if (pendingRequest.response && pendingRequest.reservation)
-        this->pendingReservedBytes -= pendingRequest.reservation->bytes();
-    this->account->forceResize(this->heldBytes());
-    this->account->setBodyBytes(this->pendingReservedBytes);
+    const auto& response = *pendingRequest.response;
+    const auto reserved = pendingRequest.reservation ? pendingRequest.reservation->bytes() : 0;
+    this->account.recordResponse(pendingRequest.held, response, response.body().capacity(), reserved);
 }
 
 /// Requests whose handler runs keep their connection; otherwise the connection waits for its caller.
 auto HttpSession::updateState() -> void
 {
-    if (!this->account)
-        return;
     if (this->isWriting)
-        this->account->setState(ConnectionState::Sending, now());
+        this->account.setState(ConnectionState::Sending, now());
     else if (this->isReading || this->pendingRequests.empty())
-        this->account->setState(ConnectionState::Receiving, now());
+        this->account.setState(ConnectionState::Receiving, now());
     else
-        this->account->setState(ConnectionState::Running, now());
-}
-
-auto HttpSession::heldBytes() const -> std::size_t
-{
-    return connectionBytes + this->buffer.capacity() + this->readingBytes + this->pendingBytes;
+        this->account.setState(ConnectionState::Running, now());
 }
 
 /// Returns the memory of a buffer that a large request has made grow.
@@ -351,6 +301,34 @@
 {
     if (this->buffer.capacity() > readSize && this->buffer.size() <= readSize)
         this->buffer.shrink_to_fit();
+    this->account.setBufferBytes(this->buffer.capacity());
+}
+
+/// Lets a caller send a large body without waiting after each few kilobytes, unless memory is short.
+auto HttpSession::enlargeReceiveBuffer(const Parser& parser) -> void
+{
+    const auto base = this->sessionContext->option.receiveBufferBytes;
+    const auto isLarge = parser.chunked() || parser.content_length_remaining().value_or(0) > base;
+    const auto isPossible = base > 0 && base < bodyReceiveBufferBytes && this->account.allowsReadAhead();
+    if (!isLarge || !isPossible || this->isReceiveBufferEnlarged)
+        return;
+    this->isReceiveBufferEnlarged = true;
+    this->setReceiveBuffer(bodyReceiveBufferBytes);
+    this->account.setUnreadBytes(unreadPerReceiveBuffer * bodyReceiveBufferBytes);
+}
+
+auto HttpSession::restoreReceiveBuffer() -> void
+{
+    if (!std::exchange(this->isReceiveBufferEnlarged, false))
+        return;
+    this->setReceiveBuffer(this->sessionContext->option.receiveBufferBytes);
+    this->account.setUnreadBytes(0);
+}
+
+auto HttpSession::setReceiveBuffer(std::size_t bytes) -> void
+{
+    auto ignored = beast::error_code {};
+    this->socket.set_option(asio::socket_base::receive_buffer_size(static_cast<int>(bytes)), ignored);
 }
 
 /// Bytes that the system still holds for the caller have not been taken.
@@ -364,8 +342,8 @@
 
 auto HttpSession::recordTaken(TimePoint now) -> void
 {
-    if (this->deadlines.recordTaken(this->takenBytes(), now) && this->account)
-        this->account->recordProgress(ConnectionState::Sending, now);
+    if (this->deadlines.recordTaken(this->takenBytes(), now))
+        this->account.recordProgress(ConnectionState::Sending, now);
 }
 
 auto HttpSession::writeContinue(asio::yield_context yield) -> void
@@ -377,7 +355,7 @@
 
 /// Runs the handler for a request in a separate coroutine.
 /// @return whether another request may be read after it.
-auto HttpSession::startHandler(HttpRequest&& request, bool keepsAlive) -> bool
+auto HttpSession::startHandler(HttpRequest&& request, SessionAccount::Pending held, bool keepsAlive) -> bool
 {
     auto pendingRequest = std::make_shared<PendingRequest>();
     pendingRequest->isLast = !keepsAlive || this->sessionContext->closesConnections;
@@ -387,8 +365,7 @@
         const auto self = weak.lock();
         return !self || self->hasPeerClosed();
     });
-    pendingRequest->heldBytes = std::exchange(this->readingBytes, 0);
-    this->pendingBytes += pendingRequest->heldBytes;
+    pendingRequest->held = held;
     this->pendingRequests.push_back(pendingRequest);
     this->updateState();
     startCoroutine(this->sessionContext->context, "http-handler",
@@ -460,8 +437,7 @@
         this->isReadingStopped = true;
     pendingRequest.response->keep_alive(!isLast);
     this->updateState();
-    if (this->account)
-        this->account->recordProgress(ConnectionState::Sending, now());
+    this->account.recordProgress(ConnectionState::Sending, now());
     this->deadlines.beginResponse(this->writtenBytes, now());
     auto error = beast::error_code {};
     auto serializer = http::response_serializer<http::string_body> { *pendingRequest.response };
@@ -474,7 +450,7 @@
     if (this->isClosed)
         return false;
     this->pendingRequests.pop_front();
-    this->releasePending(pendingRequest);
+    this->account.releasePending(pendingRequest.held);
     this->pendingLimitTimer.cancel();
     if (error) {
         this->closeConnection();
--- a/src/citronloft/edge/http_session.hpp
+++ b/src/citronloft/edge/http_session.hpp
@@ -14,6 +14,7 @@
 #include "citronloft/base/clock.hpp"
 #include "citronloft/edge/coroutine.hpp"
 #include "citronloft/edge/http_server.hpp"
+#include "session_account.hpp"
 #include "session_deadlines.hpp"
 
 namespace citronloft {
@@ -65,8 +66,7 @@
         std::optional<Response> response;
         /// Memory that the response's body takes until it is written.
         std::shared_ptr<BodyReservation> reservation;
-        /// Memory that the request, and later its response, takes beside the reservation.
-        std::size_t heldBytes = 0;
+        SessionAccount::Pending held;
         bool isLast = false;
         bool requestsClose = false;
     };
@@ -78,17 +78,19 @@
     auto waitForPendingLimit(boost::asio::yield_context yield) -> bool;
     auto readRequest(Parser& parser, HttpRequest& request, boost::asio::yield_context yield)
         -> boost::beast::error_code;
-    auto recordReceived(const Parser& parser, std::size_t reservedBytes, boost::asio::yield_context yield) -> bool;
-    auto reservePending(const HttpRequest& request) -> bool;
+    auto recordHeader(const Parser& parser, boost::asio::yield_context yield) -> bool;
+    auto recordBody(const Parser& parser, std::size_t reservedBytes, boost::asio::yield_context yield) -> bool;
+    auto waitForReturns(boost::asio::yield_context yield) -> void;
     auto recordResponse(PendingRequest& pendingRequest) -> void;
-    auto releasePending(const PendingRequest& pendingRequest) -> void;
     auto updateState() -> void;
-    [[nodiscard]] auto heldBytes() const -> std::size_t;
     auto shrinkBuffer() -> void;
+    auto enlargeReceiveBuffer(const Parser& parser) -> void;
+    auto restoreReceiveBuffer() -> void;
+    auto setReceiveBuffer(std::size_t bytes) -> void;
     auto recordTaken(TimePoint now) -> void;
     [[nodiscard]] auto takenBytes() -> std::size_t;
     auto writeContinue(boost::asio::yield_context yield) -> void;
-    auto startHandler(HttpRequest&& request, bool keepsAlive) -> bool;
+    auto startHandler(HttpRequest&& request, SessionAccount::Pending held, bool keepsAlive) -> bool;
     auto sendRefusal(ResultCode code, boost::asio::yield_context yield) -> void;
     auto callHandler(HttpRequest& request, PendingRequest& pendingRequest, boost::asio::yield_context yield) -> void;
     auto writeReadyResponses(boost::asio::yield_context yield) -> void;
@@ -103,22 +105,17 @@
     boost::asio::steady_timer pendingLimitTimer;
     Address peer;
     std::deque<std::shared_ptr<PendingRequest>> pendingRequests;
-    /// Null: what the connection holds is not bounded.
-    std::optional<ConnectionBudget::Account> account;
-    /// Memory of the request that is being read, beside its reservation, and of its fields alone.
-    std::size_t readingBytes = 0;
-    std::size_t fieldBytes = 0;
-    /// Sum over the pending requests.
-    std::size_t pendingBytes = 0;
-    std::size_t pendingReservedBytes = 0;
+    SessionAccount account;
+    SessionDeadlines deadlines;
+    /// Bytes that have been passed to the socket.
+    std::size_t writtenBytes = 0;
+    /// The receive buffer is larger than the server's, for a body.
+    bool isReceiveBufferEnlarged = false;
     bool isReading = false;
     bool isWriting = false;
     /// No further request is read from this connection.
     bool isReadingStopped = false;
     bool isClosed = false;
-    SessionDeadlines deadlines;
-    /// Bytes that have been passed to the socket.
-    std::size_t writtenBytes = 0;
 };
 
 } // namespace citronloft
--- a/src/citronloft/edge/slow_caller_test.cpp
+++ b/src/citronloft/edge/slow_caller_test.cpp
@@ -73,6 +73,7 @@
         option.requestTimeout = timeout;
         option.writeTimeout = timeout;
         option.connectionBudget = std::make_shared<ConnectionBudget>(std::size_t { 64 } * 1024 * 1024);
+        option.receiveBufferBytes = 8192;
         return option;
     }
 
--- a/src/citronloft/policy/connection_budget.cpp
+++ b/src/citronloft/policy/connection_budget.cpp
@@ -16,8 +16,19 @@
     return growth <= limit && lasting <= limit - growth;
 }
 
+auto ConnectionBudget::measure() -> void
+{
+    if (!this->measureResident)
+        return;
+    const auto resident = this->measureResident();
+    const auto accounted = this->used - std::min(this->used, this->absent);
+    this->overhead = resident - std::min(resident, accounted);
+    this->measuredUpTo = this->used + this->limitBytes / measuredShareDivisor;
+}
+
 auto ConnectionBudget::resizeRequestBody(std::size_t oldBytes, std::size_t newBytes) -> bool
 {
+    this->measureIfGrowing(oldBytes, newBytes);
     if (newBytes > oldBytes && !this->makeRoom(newBytes - oldBytes, this->requestLimit(), nullptr, false))
         return false;
     this->used = this->used - oldBytes + newBytes;
@@ -26,12 +37,19 @@
 
 auto ConnectionBudget::resizeResponseBody(std::size_t oldBytes, std::size_t newBytes) -> bool
 {
-    if (newBytes > oldBytes && !this->makeRoom(newBytes - oldBytes, this->limitBytes, nullptr, false))
+    this->measureIfGrowing(oldBytes, newBytes);
+    if (newBytes > oldBytes && !this->makeRoom(newBytes - oldBytes, this->limit(), nullptr, false))
         return false;
     this->used = this->used - oldBytes + newBytes;
     return true;
 }
 
+auto ConnectionBudget::measureIfGrowing(std::size_t oldBytes, std::size_t newBytes) -> void
+{
+    if (newBytes > oldBytes && this->used + newBytes - oldBytes > this->measuredUpTo)
+        this->measure();
+}
+
 auto ConnectionBudget::makeRoomForConnection(TimePoint now) -> bool
 {
     this->latest = std::max(this->latest, now);
@@ -96,6 +114,7 @@
 
 ConnectionBudget::Account::~Account()
 {
+    this->setAbsentBytes(0);
     this->budget->used -= this->heldBytes;
     this->budget->evictedBytes -= this->pendingReturnBytes;
     this->listOf(this->state).erase(this->position);
@@ -135,6 +154,7 @@
 {
     if (this->isEvicted)
         return false;
+    this->budget->measureIfGrowing(this->heldBytes, bytes);
     if (bytes > this->heldBytes
         && !this->budget->makeRoom(bytes - this->heldBytes, this->budget->requestLimit(), this, true))
         return false;
@@ -142,6 +162,12 @@
     return true;
 }
 
+auto ConnectionBudget::Account::setAbsentBytes(std::size_t bytes) -> void
+{
+    this->budget->changeAbsentBytes(this->absentBytes, bytes);
+    this->absentBytes = bytes;
+}
+
 auto ConnectionBudget::Account::forceResize(std::size_t bytes) -> void
 {
     this->budget->used = this->budget->used - this->heldBytes + bytes;
--- a/src/citronloft/policy/connection_budget_test.cpp
+++ b/src/citronloft/policy/connection_budget_test.cpp
@@ -157,6 +157,57 @@
     EXPECT_FALSE(this->budget->makeRoomForConnection(start + 1h));
 }
 
+/// Guards against a process that holds more than its accounts say.
+TEST_F(ConnectionBudgetTest, MeasuredMemoryReducesTheLimit)
+{
+    auto resident = std::size_t { 300 };
+    this->budget->setMeter([&] { return resident; });
+    this->budget->measure();
+    EXPECT_EQ(this->budget->limit(), limitBytes - 300);
+    auto& connection = this->connect();
+    EXPECT_TRUE(connection.account->resize(200));
+    resident = 600;
+    this->budget->measure();
+    EXPECT_EQ(this->budget->overheadBytes(), 400U);
+    EXPECT_FALSE(connection.account->resize(600));
+    resident = 500;
+    this->budget->measure();
+    EXPECT_EQ(this->budget->overheadBytes(), 300U);
+}
+
+TEST_F(ConnectionBudgetTest, GrowthIsMeasuredBeforeItIsGranted)
+{
+    auto resident = std::size_t { 0 };
+    this->budget->setMeter([&] { return resident; });
+    this->budget->measure();
+    resident = 700;
+    auto& connection = this->connect();
+    EXPECT_FALSE(connection.account->resize(400));
+    EXPECT_EQ(this->budget->overheadBytes(), 700U);
+}
+
+/// Guards against counting the same memory twice, or not at all, when charged bytes are not resident yet.
+TEST_F(ConnectionBudgetTest, AbsentBytesAreNotTakenForResident)
+{
+    this->budget->setMeter([] { return std::size_t { 350 }; });
+    auto& connection = this->connect();
+    EXPECT_TRUE(connection.account->resize(200));
+    connection.account->setAbsentBytes(150);
+    this->budget->measure();
+    EXPECT_EQ(this->budget->overheadBytes(), 300U);
+    connection.account.reset();
+    this->budget->measure();
+    EXPECT_EQ(this->budget->overheadBytes(), 350U);
+}
+
+/// Guards against a host that refuses all requests since its own state has grown.
+TEST_F(ConnectionBudgetTest, SomeMemoryIsLeftToConnections)
+{
+    this->budget->setMeter([] { return 2 * limitBytes; });
+    this->budget->measure();
+    EXPECT_EQ(this->budget->limit(), limitBytes / ConnectionBudget::minShareDivisor);
+}
+
 TEST_F(ConnectionBudgetTest, ReadingAheadStopsAtHalfOfTheMemory)
 {
     auto& first = this->connect();
