Crowds of hostile clients in the soak

The soak had only callers that behave. Each run now begins with a crowd of hostile clients at a random host, port and path, and others follow among the faults, beside restarts, changes, cut links and outages of the store. It checks that no host ends by itself and that none needs more memory (peak) or descriptors than its settings (64 MB, 512) allow.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -83,6 +83,8 @@
 seeds: ["127.$FLEET_NET.1.1:8070", "127.$FLEET_NET.2.1:8070", "127.$FLEET_NET.3.1:8070", "127.$FLEET_NET.$1.1:8070", "127.$FLEET_NET.$1.2:8070"]
 queue: ${FLEET_QUEUE:-fair}
 lending: ${FLEET_LENDING:-fleet}
+memory_mb: ${FLEET_MEMORY_MB:-0}
+max_fds: ${FLEET_MAX_FDS:-0}
 log: { path: "$FLEET_DIR/host-$1.$2.log", level: info }
 YAML
   start_process "host-$1.$2" "$FLEET_BIN/citronloftd" --settings "$FLEET_DIR/host-$1.$2.yaml"
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Randomized soak test with real processes: a loopback proxy injects faults into connections to targets and the store,
-# hosts are stopped, paused, killed and restarted, and the store fails. The judge checks the callers' and targets'
-# histories.
+# hosts are stopped, paused, killed and restarted, the store fails, and crowds of hostile clients come. The judge checks the
+# callers' and targets' histories; no host may end by itself or need more memory or descriptors than its settings allow.
 # usage: scripts/soak.sh SEED...      SOAK_SECONDS (20) is the length of one run, SOAK_HOSTS (2) the hosts of each zone.
 # For a failed seed, histories and logs are kept in the printed directory.
 set -uo pipefail
@@ -48,6 +48,16 @@
 fault_store_loses() { say store-loses; curl -s "http://$fleet_store/control?lose_replies=10" >/dev/null; }
 fault_store_late() { say store-late; harm "$platform" delay_ms=200; later 3 harm "$platform" delay_ms=0; }
 fault_store_reset() { say store-reset; harm "$platform" reset=1; }
+fault_crowd() {
+  draw_host; draw 3
+  local ports=(8080 8090 8070) paths=(/plans/1 /nowhere /metrics)
+  local port="${ports[DRAWN]}" key
+  draw 3
+  say crowd "$HOST" "$port" "${paths[DRAWN]}"
+  key=$(grep -m1 -o '"key": "[^"]*' "$FLEET_DIR/teams.json" | cut -d'"' -f4)
+  "$FLEET_BIN/standin_crowd" --address "127.$FLEET_NET.$HOST:$port" --path "${paths[DRAWN]}" --key "$key" \
+    --clients 150 --seconds 3 & pending+=($!)
+}
 fault_change() {
   say change
   draw 900
@@ -56,6 +66,21 @@
 }
 faults=($(declare -F | awk '{ print $3 }' | grep '^fault_'))
 
+# check_hosts: prints each host that has ended by itself, or has needed more than its settings allow.
+check_hosts() {
+  local host pid kilobytes
+  for host in "${!HOST_PIDS[@]}"; do
+    pid="${HOST_PIDS[$host]}"
+    kilobytes=$(awk '/VmHWM/ { print $2 }' "/proc/$pid/status" 2>/dev/null)
+    if [ -z "$kilobytes" ]; then
+      echo "host $host has ended"
+    elif (( kilobytes * 1024 > FLEET_MEMORY_MB * 1000000 )); then
+      echo "host $host needed $kilobytes kB"
+    fi
+    (( $(ls "/proc/$pid/fd" 2>/dev/null | wc -l) <= FLEET_MAX_FDS )) || echo "host $host has too many descriptors"
+  done
+}
+
 begin() {
   # Hosts connect to the proxies, which forward to the ports on which the targets and the store listen.
   copy_example examples/waitaha.yaml
@@ -86,6 +111,8 @@
   [ "${answered:-0}" -gt $(( seconds * 100 )) ] || verdict=1
   [ "$load_ok" = 0 ] || verdict=1
   [ "${hung:-0}" = 0 ] || verdict=1
+  check_hosts >"$FLEET_DIR/hosts.txt"
+  [ ! -s "$FLEET_DIR/hosts.txt" ] || verdict=1
   echo "seed $1: $(wc -l <"$FLEET_DIR/faults.txt") faults, ${answered:-0} answers, $(head -1 "$FLEET_DIR/judge.txt")"
   return "$verdict"
 }
@@ -96,6 +123,8 @@
   FLEET_DIR=$(mktemp -d)
   FLEET_NET=$(( $1 % 180 + 40 ))
   FLEET_KEEP=1
+  FLEET_MEMORY_MB="${SOAK_MEMORY_MB:-64}"
+  FLEET_MAX_FDS="${SOAK_MAX_FDS:-512}"
   . scripts/fleet.sh
   begin || { echo "seed $1: the fleet did not start; kept in $FLEET_DIR"; stop_fleet; exit 1; }
   trap stop_fleet EXIT
@@ -105,6 +134,7 @@
     --double-payments --history "$FLEET_DIR/callers.jsonl" --json "$FLEET_DIR/load.json" >"$FLEET_DIR/load.txt" 2>&1 &
   load=$!
   sleep 1
+  fault_crowd
   while kill -0 "$load" 2>/dev/null; do
     draw "${#faults[@]}"
     "${faults[DRAWN]}"
@@ -115,7 +145,7 @@
   [ ${#pending[@]} -eq 0 ] || wait "${pending[@]}" 2>/dev/null
   if judge "$1"; then rm -rf "$FLEET_DIR"; exit 0; fi
   echo "  FAILED; kept in $FLEET_DIR"
-  sed 's/^/  /' "$FLEET_DIR/judge.txt" | head -10
+  sed 's/^/  /' "$FLEET_DIR/judge.txt" "$FLEET_DIR/hosts.txt" | head -10
   exit 1
 )
 
