Answers of more than 8 MiB are served on hosts whose memory is bounded

Callers saw: 502 for an answer above 8 MiB, after the request had run. Cause: a fixed limit of the client for targets from before answers were counted in the host's memory. With memory_mb set, the limit is 64 MiB, as for bodies, and the memory decides.

--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -31,6 +31,8 @@
 constexpr auto usesZoneReaders = false;
 /// Interval at which a zone's reader repeats what it has announced, since notices can be lost.
 constexpr auto changeNoticeInterval = std::chrono::milliseconds { 1000 };
+/// Maximum size of a target's answer; the memory of the host limits it further.
+constexpr auto maxAnswerBytes = std::uint64_t { 64 } * 1024 * 1024;
 /// Interval at which the memory of the process is measured, besides measurements while it grows.
 constexpr auto memoryInterval = std::chrono::milliseconds { 100 };
 constexpr auto bytesPerMegabyte = 1e6;
@@ -152,6 +154,8 @@
     option.fleetSecret = this->settings.fleetSecret;
     option.httpClient = this->httpClient;
     option.client.bodyMemory = this->bodyMemory;
+    if (this->bodyMemory)
+        option.client.bodyLimitBytes = maxAnswerBytes;
     option.client.maxConnections = this->limits.targetConnections;
     option.queue = this->settings.queue == "fifo" ? QueueStrategy::Fifo : QueueStrategy::Fair;
     if (!this->usesAdapter())
--- a/tests/fakes/hostile_client.hpp
+++ b/tests/fakes/hostile_client.hpp
@@ -110,6 +110,28 @@
     std::size_t sent = 0;
 };
 
+/// @brief Sends datagrams, as fast as the system takes them.
+class DatagramSender {
+public:
+    explicit DatagramSender(const Address& address)
+        : socket(::socket(AF_INET, SOCK_DGRAM, 0))
+    {
+        auto endpoint = sockaddr_in {};
+        endpoint.sin_family = AF_INET;
+        endpoint.sin_port = htons(address.port);
+        inet_pton(AF_INET, address.ip.c_str(), &endpoint.sin_addr);
+        connect(this->socket, reinterpret_cast<const sockaddr*>(&endpoint), sizeof(endpoint));
+    }
+    ~DatagramSender() { close(this->socket); }
+    DatagramSender(const DatagramSender&) = delete;
+    auto operator=(const DatagramSender&) -> DatagramSender& = delete;
+
+    auto send(const std::string& text) -> void { ::send(this->socket, text.data(), text.size(), MSG_NOSIGNAL); }
+
+private:
+    int socket;
+};
+
 /// @brief Sends a request on a new connection and waits for the start of its response.
 /// @return its status, or 0 if there was no response within the time, which begins when the request has been sent.
 inline auto callOnce(const Address& address, const std::string& request,
