Operators see why connections are closed or not taken

A host closed connections at its time limits, and did not take them when all others ran requests, without a trace. Now each counts in citronloft_connections_closed_total{reason} with a log line at a bounded rate (header-timeout, body-timeout, response-timeout, no-room); those closed for new ones at the peer port count as evicted (peer-port). connection-evicted tells the limit that was in force.

--- a/include/citronloft/edge/http_server.hpp
+++ b/include/citronloft/edge/http_server.hpp
@@ -60,6 +60,21 @@
     std::function<bool()> hasPeerClosed;
 };
 
+/// @brief Why a server closes a connection, or does not take it, without a request of the caller's.
+enum class ConnectionClosure : std::uint8_t {
+    /// A header was not complete in time.
+    HeaderTimeout,
+    /// A body did not go on.
+    BodyTimeout,
+    /// The caller did not go on reading a response.
+    ResponseTimeout,
+    /// All connections are in use by requests that run.
+    NoRoom,
+};
+
+/// @return the name of a reason in logs and metrics.
+auto connectionClosureName(ConnectionClosure closure) -> const char*;
+
 /// @brief Limits and timeouts of a server.
 struct HttpServerOption {
     std::uint32_t headerLimitBytes = 16 * 1024;
@@ -81,6 +96,8 @@
     /// Called with the result code of each request that the server refuses before it reaches the handler, or whose
     /// handler throws.
     std::function<void(ResultCode)> onRefusal;
+    /// Called for each connection that the server closes or does not take. Idle connections do not count.
+    std::function<void(ConnectionClosure)> onClosure {};
 };
 
 /// @brief HTTP server. Pipelined requests of a connection are handled concurrently and answered in order.
--- a/include/citronloft/policy/connection_budget.hpp
+++ b/include/citronloft/policy/connection_budget.hpp
@@ -25,7 +25,7 @@
 };
 
 /// @brief Why a connection is closed to make room.
-enum class EvictionReason : std::uint8_t { Memory, Descriptors };
+enum class EvictionReason : std::uint8_t { Memory, Descriptors, PeerPort };
 
 /// @return the name of a reason in logs and metrics.
 auto evictionReasonName(EvictionReason reason) -> const char*;
--- a/programs/citronloftd/components.cpp
+++ b/programs/citronloftd/components.cpp
@@ -25,8 +25,7 @@
     const auto& settings = this->host.settings;
     auto option = PeerServerOption {};
     option.connectionLimit = this->host.limits.peerConnections;
-    option.onLimit
-        = [this] { this->host.metrics.count("citronloft_connections_evicted_total", "reason=\"peer-port\""); };
+    option.onLimit = [this] { this->host.recordEviction(EvictionReason::PeerPort); };
     auto server = makePeerServer(this->host.context, { settings.ip, settings.peerPort }, settings.fleetSecret,
         { [this](const ConfigRequest& request) { return this->host.fleet->config().serve(request); },
             [this](const FeedRequest& request) { return this->host.serveFeed(request); } },
@@ -85,6 +84,7 @@
     option.bodyMemory = this->host.bodyMemory;
     option.connectionBudget = this->host.connectionBudget;
     option.receiveBufferBytes = this->host.limits.receiveBufferBytes;
+    option.onClosure = [this](ConnectionClosure closure) { this->host.recordClosure(closure); };
     option.onRefusal = [this](ResultCode code) {
         const auto label = "code=\"" + std::string { resultInfo(code).name } + "\"";
         this->host.metrics.count("citronloft_results_total", label);
@@ -122,6 +122,7 @@
     option.bodyMemory = this->host.bodyMemory;
     option.connectionBudget = this->host.connectionBudget;
     option.receiveBufferBytes = this->host.limits.receiveBufferBytes;
+    option.onClosure = [this](ConnectionClosure closure) { this->host.recordClosure(closure); };
     auto created = makeHttpServer(this->host.context, { this->host.settings.ip, this->port }, handle, option);
     if (!created.ok() && !this->isRequired) {
         LogEvent(LogLevel::Warning, "port-not-opened")
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -183,6 +183,20 @@
     LogEvent(LogLevel::Warning, "connection-evicted")
         .with("reason", name)
         .with("held_bytes", this->connectionBudget->usedBytes())
+        .with("limit_bytes", this->connectionBudget->limit())
+        .with("connections", this->connectionBudget->connections())
+        .with("left_out", suppressedLines);
+}
+
+auto Host::recordClosure(ConnectionClosure closure) -> void
+{
+    const auto name = std::string { connectionClosureName(closure) };
+    this->metrics.count("citronloft_connections_closed_total", "reason=\"" + name + "\"");
+    auto suppressedLines = std::uint64_t { 0 };
+    if (!this->connectionLogLimiter.allow("connection-closed", this->clock.now(), suppressedLines))
+        return;
+    LogEvent(LogLevel::Warning, "connection-closed")
+        .with("reason", name)
         .with("connections", this->connectionBudget->connections())
         .with("left_out", suppressedLines);
 }
--- a/programs/citronloftd/host.hpp
+++ b/programs/citronloftd/host.hpp
@@ -58,6 +58,7 @@
     auto gatewayOption() const -> GatewayOption;
     auto startDiscovery() -> void;
     auto recordEviction(EvictionReason reason) -> void;
+    auto recordClosure(ConnectionClosure closure) -> void;
     auto addComponents() -> void;
     auto updateServingState() -> void;
     auto updateRetryBudget(TimePoint now) -> void;
--- a/src/citronloft/edge/http_server.cpp
+++ b/src/citronloft/edge/http_server.cpp
@@ -1,6 +1,7 @@
 #include "citronloft/edge/http_server.hpp"
 
 #include <algorithm>
+#include <array>
 #include <list>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -103,8 +104,13 @@
 
     auto hasRoomForConnection() -> bool
     {
-        const auto& budget = this->sessionContext->option.connectionBudget;
-        return !budget || budget->makeRoomForConnection(std::chrono::steady_clock::now());
+        const auto& option = this->sessionContext->option;
+        const auto& budget = option.connectionBudget;
+        if (!budget || budget->makeRoomForConnection(std::chrono::steady_clock::now()))
+            return true;
+        if (option.onClosure)
+            option.onClosure(ConnectionClosure::NoRoom);
+        return false;
     }
 
     auto start(Tcp::socket socket) -> void
@@ -146,6 +152,13 @@
 
 } // namespace
 
+auto connectionClosureName(ConnectionClosure closure) -> const char*
+{
+    static constexpr auto names
+        = std::to_array<const char*>({ "header-timeout", "body-timeout", "response-timeout", "no-room" });
+    return names.at(static_cast<std::size_t>(closure));
+}
+
 auto makeHttpServer(boost::asio::io_context& context, const Address& address, HttpServer::Handler handler,
     HttpServerOption option) -> absl::StatusOr<std::shared_ptr<HttpServer>>
 {
--- a/src/citronloft/edge/http_session.cpp
+++ b/src/citronloft/edge/http_session.cpp
@@ -128,9 +128,13 @@
 {
     if (this->isWriting && !this->isClosed)
         this->recordTaken(now);
+    if (this->isClosed || !this->deadlines.isOverdue(now, this->unansweredRequests() == 0))
+        return;
+    const auto missed = this->deadlines.missed(now);
+    if (missed && this->socket.is_open() && this->sessionContext->option.onClosure)
+        this->sessionContext->option.onClosure(*missed);
     auto ignored = beast::error_code {};
-    if (this->deadlines.isOverdue(now, this->unansweredRequests() == 0))
-        this->socket.close(ignored);
+    this->socket.close(ignored);
 }
 
 auto HttpSession::handleNextRequest(asio::yield_context yield) -> bool
@@ -236,6 +240,7 @@
         this->writeContinue(yield);
     request.reservation = std::make_shared<BodyReservation>(option.bodyMemory, BodyKind::Request);
     this->enlargeReceiveBuffer(parser);
+    this->deadlines.beginBody();
     const auto recordBody = [&] { return this->recordBody(parser, request.reservation->bytes(), yield); };
     if (const auto error
         = readBody(this->socket, this->buffer, parser, *request.reservation, option.bodyLimitBytes, yield, recordBody))
--- a/src/citronloft/edge/session_deadlines.cpp
+++ b/src/citronloft/edge/session_deadlines.cpp
@@ -6,6 +6,7 @@
 {
     this->readDeadline = now + this->option.requestTimeout;
     this->nextBodyProgress = ConnectionBudget::progressBytes;
+    this->isInBody = false;
 }
 
 auto SessionDeadlines::recordBody(std::size_t bytes, TimePoint now) -> bool
@@ -43,4 +44,13 @@
     return isIdleTooLong || now >= this->readDeadline || now >= this->writeDeadline || now >= this->lingerDeadline;
 }
 
+auto SessionDeadlines::missed(TimePoint now) const -> std::optional<ConnectionClosure>
+{
+    if (now >= this->writeDeadline)
+        return ConnectionClosure::ResponseTimeout;
+    if (now >= this->readDeadline)
+        return this->isInBody ? ConnectionClosure::BodyTimeout : ConnectionClosure::HeaderTimeout;
+    return std::nullopt;
+}
+
 } // namespace citronloft
--- a/src/citronloft/edge/session_deadlines.hpp
+++ b/src/citronloft/edge/session_deadlines.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 
 #include "citronloft/base/clock.hpp"
 #include "citronloft/edge/http_server.hpp"
@@ -34,6 +35,9 @@
 
     auto beginRequest(TimePoint now) -> void;
 
+    /// @brief Records that the header is complete.
+    auto beginBody() -> void { this->isInBody = true; }
+
     /// @brief Records the size of the body that has been received of the present request.
     /// @return whether the caller has made progress.
     auto recordBody(std::size_t bytes, TimePoint now) -> bool;
@@ -54,8 +58,12 @@
     /// @param isIdle whether no request of the connection is unanswered.
     [[nodiscard]] auto isOverdue(TimePoint now, bool isIdle) const -> bool;
 
+    /// @return what the caller has failed to do in time; nothing if the connection is only idle or lingering.
+    [[nodiscard]] auto missed(TimePoint now) const -> std::optional<ConnectionClosure>;
+
 private:
     const HttpServerOption& option;
+    bool isInBody = false;
     std::size_t nextBodyProgress = 0;
     std::size_t nextTakenProgress = 0;
     TimePoint idleDeadline = TimePoint::max();
--- a/src/citronloft/edge/slow_caller_test.cpp
+++ b/src/citronloft/edge/slow_caller_test.cpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -66,7 +67,7 @@
         }
     }
 
-    static auto option() -> HttpServerOption
+    auto option() -> HttpServerOption
     {
         auto option = HttpServerOption {};
         option.bodyLimitBytes = std::size_t { 64 } * 1024 * 1024;
@@ -74,11 +75,13 @@
         option.writeTimeout = timeout;
         option.connectionBudget = std::make_shared<ConnectionBudget>(std::size_t { 64 } * 1024 * 1024);
         option.receiveBufferBytes = 8192;
+        option.onClosure = [this](ConnectionClosure closure) { this->closures.push_back(closure); };
         return option;
     }
 
     asio::io_context context;
     std::string responseBody;
+    std::vector<ConnectionClosure> closures;
     std::size_t receivedBodyBytes = 0;
     std::shared_ptr<HttpServer> server = *makeHttpServer(
         context, { "127.0.0.1", 0 },
@@ -120,6 +123,7 @@
             this->wait(yield);
         EXPECT_EQ(this->server->inFlight(), 0U);
     });
+    EXPECT_EQ(this->closures, std::vector { ConnectionClosure::ResponseTimeout });
 }
 
 TEST_F(SlowCallerTest, SteadySenderIsServed)
@@ -155,6 +159,7 @@
             EXPECT_TRUE(error);
         });
     }
+    EXPECT_EQ(this->closures, (std::vector { ConnectionClosure::HeaderTimeout, ConnectionClosure::BodyTimeout }));
 }
 
 } // namespace
--- a/src/citronloft/policy/connection_budget.cpp
+++ b/src/citronloft/policy/connection_budget.cpp
@@ -1,13 +1,15 @@
 #include "citronloft/policy/connection_budget.hpp"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace citronloft {
 
 auto evictionReasonName(EvictionReason reason) -> const char*
 {
-    return reason == EvictionReason::Memory ? "memory" : "descriptors";
+    static constexpr auto names = std::to_array<const char*>({ "memory", "descriptors", "peer-port" });
+    return names.at(static_cast<std::size_t>(reason));
 }
 
 auto ConnectionBudget::fits(std::size_t growth, std::size_t limit) const -> bool
