--- a/src/citronloft/edge/peer_exchange_test.cpp
+++ b/src/citronloft/edge/peer_exchange_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 namespace citronloft {
 namespace {
@@ -22,17 +23,20 @@
     auto option = PeerServerOption { limit, [&] { ++reached; } };
     auto handlers = PeerHandlers { [](const ConfigRequest&) { return ConfigUpdate {}; },
         [](const FeedRequest&) { return absl::UnavailableError("not in use"); } };
-    const auto port = std::uint16_t { 18571 };
-    auto server = makePeerServer(context, { "127.0.0.1", port }, secret, std::move(handlers), std::move(option));
+    // A network for each process, so that concurrent test runs do not collide.
+    constexpr auto firstNetwork = 30;
+    constexpr auto networks = 200;
+    const auto address = Address { "127." + std::to_string(firstNetwork + getpid() % networks) + ".1.9", 18571 };
+    auto server = makePeerServer(context, address, secret, std::move(handlers), std::move(option));
     ASSERT_TRUE(server.ok());
     auto silent = std::list<asio::ip::tcp::socket> {};
     for (auto i = std::size_t { 0 }; i < 3 * limit; ++i) {
-        silent.emplace_back(context).connect({ asio::ip::make_address("127.0.0.1"), port });
+        silent.emplace_back(context).connect({ asio::ip::make_address(address.ip), address.port });
         context.run_for(20ms);
     }
     EXPECT_GE(reached, static_cast<int>(2 * limit));
     auto fetched = std::optional<bool> {};
-    makeConfigFetcher(context, secret)->fetch({ "127.0.0.1", port }, ConfigRequest {}, [&](const auto& update) {
+    makeConfigFetcher(context, secret)->fetch(address, ConfigRequest {}, [&](const auto& update) {
         fetched = update.ok();
     });
     const auto end = std::chrono::steady_clock::now() + 10s;
