A measurement of the memory that fails leaves the last one in force

Reading /proc/self/statm fails when no descriptor is left; the memory beside the accounts then counted as none, and connections could hold all of it.

--- a/include/citronloft/policy/connection_budget.hpp
+++ b/include/citronloft/policy/connection_budget.hpp
@@ -9,6 +9,7 @@
 #include <limits>
 #include <list>
 #include <memory>
+#include <optional>
 
 #include "citronloft/base/clock.hpp"
 
@@ -94,7 +95,11 @@
 
     /// @brief Sets a function that measures the process's resident memory in bytes. It is called when the accounts have
     /// grown by a considerable part of the memory; the limit is then one on all that the process holds.
-    auto setMeter(std::function<std::size_t()> measure) -> void { this->measureResident = std::move(measure); }
+    /// @param measure returns nothing if the memory cannot be measured now; the last result then holds on.
+    auto setMeter(std::function<std::optional<std::size_t>()> measure) -> void
+    {
+        this->measureResident = std::move(measure);
+    }
 
     /// @brief Measures the process's memory; without effect if there is no meter.
     auto measure() -> void;
@@ -140,7 +145,7 @@
     std::size_t overhead = 0;
     /// Value of `used` above which the memory is measured again.
     std::size_t measuredUpTo = 0;
-    std::function<std::size_t()> measureResident;
+    std::function<std::optional<std::size_t>()> measureResident;
     /// Memory of connections that have been closed to make room and have not returned it yet.
     std::size_t evictedBytes = 0;
     std::size_t count = 0;
--- a/programs/citronloftd/host.cpp
+++ b/programs/citronloftd/host.cpp
@@ -53,7 +53,7 @@
     auto budget = std::make_shared<ConnectionBudget>(
         isMeasured ? limits.processBytes : limits.connectionBytes, limits.callerConnections);
     if (isMeasured)
-        budget->setMeter([] { return residentBytes().value_or(0); });
+        budget->setMeter(residentBytes);
     return budget;
 }
 
--- a/src/citronloft/policy/connection_budget.cpp
+++ b/src/citronloft/policy/connection_budget.cpp
@@ -22,7 +22,10 @@
 {
     if (!this->measureResident)
         return;
-    const auto resident = this->measureResident();
+    const auto measured = this->measureResident();
+    if (!measured)
+        return;
+    const auto resident = *measured;
     const auto accounted = this->used - std::min(this->used, this->absent);
     this->overhead = resident - std::min(resident, accounted);
     this->measuredUpTo = this->used + this->limitBytes / measuredShareDivisor;
--- a/src/citronloft/policy/connection_budget_test.cpp
+++ b/src/citronloft/policy/connection_budget_test.cpp
@@ -173,6 +173,9 @@
     resident = 500;
     this->budget->measure();
     EXPECT_EQ(this->budget->overheadBytes(), 300U);
+    this->budget->setMeter([] { return std::nullopt; });
+    this->budget->measure();
+    EXPECT_EQ(this->budget->overheadBytes(), 300U);
 }
 
 TEST_F(ConnectionBudgetTest, GrowthIsMeasuredBeforeItIsGranted)
