Log each change of the lists of live hosts, with the age of what it is based on

Nothing was logged when a host entered or left the lists from which look-ups are answered, so that a late message, a long limit and a late summary of another zone could not be told apart.

Change: host-listed, host-unlisted and remote-host-unlisted name the host, the time since its counter or its zone's summary last rose, whose message raised it, and the time since the host's own last message.

--- a/include/citronloft/fleet/membership.hpp
+++ b/include/citronloft/fleet/membership.hpp
@@ -117,12 +117,19 @@
 private:
     struct Member {
         HostEntry entry;
+        /// Last time at which the counter rose, and the host whose message raised it.
         TimePoint heardAt;
+        std::string heardFrom {};
+        /// Last message from the host itself.
+        TimePoint contactAt {};
+        bool isListed = false;
     };
 
     struct Zone {
         ZoneSummary summary;
+        /// Last time at which the counter rose, and the host whose message raised it.
         TimePoint heardAt;
+        std::string heardFrom {};
     };
 
     /// Host that reported the newest configuration known to this host.
@@ -132,13 +139,16 @@
     };
 
     auto processSender(const GossipMessage& message, TimePoint now) -> void;
-    auto mergeMember(HostEntry entry, TimePoint now) -> void;
-    auto mergeSummary(const ZoneSummary& summary, TimePoint now) -> void;
+    auto mergeMember(HostEntry entry, const std::string& from, TimePoint now) -> void;
+    auto mergeSummary(const ZoneSummary& summary, const std::string& from, TimePoint now) -> void;
     auto compareMembers(const GossipMessage& message, GossipMessage& answer, TimePoint now) -> void;
     auto compareZones(const GossipMessage& message, GossipMessage& answer, TimePoint now) -> void;
     auto addWanted(const GossipMessage& message, GossipMessage& answer) const -> void;
     auto removeSilent(TimePoint now) -> void;
     auto refreshViews(TimePoint now) -> void;
+    auto refreshPeers(TimePoint now) -> void;
+    auto refreshRemote(TimePoint now) -> void;
+    auto logUnlistedRemote(const std::vector<HostEntry>& previous, TimePoint now) const -> void;
     auto gossip(TimePoint now) -> void;
     auto publish(TimePoint now) -> void;
     auto contactSeeds(TimePoint now) -> void;
--- a/src/citronloft/fleet/membership.cpp
+++ b/src/citronloft/fleet/membership.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <bit>
+#include <set>
+
+#include "citronloft/base/log.hpp"
 
 namespace citronloft {
 
@@ -17,6 +20,11 @@
 
 auto doublings(std::size_t count) -> int { return static_cast<int>(std::bit_width(count)); }
 
+auto milliseconds(Duration duration) -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 } // namespace
 
 auto zoneId(const std::string& zone) -> std::uint64_t { return bucketId(zone); }
@@ -54,10 +62,10 @@
     const auto isOwnZone = message.zone == this->own.zone;
     if (isOwnZone) {
         for (const auto& entry : message.entries)
-            this->mergeMember(entry, now);
+            this->mergeMember(entry, message.sender.ip, now);
     }
     for (const auto& summary : message.summaries)
-        this->mergeSummary(summary, now);
+        this->mergeSummary(summary, message.sender.ip, now);
     auto answer = this->header();
     if (isOwnZone)
         this->compareMembers(message, answer, now);
@@ -167,7 +175,9 @@
         this->newestConfig = { vitals.configVersion, message.sender.peerAddress() };
     if (message.zone != this->own.zone)
         return;
-    this->mergeMember(message.sender, now);
+    this->mergeMember(message.sender, message.sender.ip, now);
+    if (const auto member = this->members.find(message.sender.incarnation); member != this->members.end())
+        member->second.contactAt = now;
     this->maxReportedEpoch
         = std::max({ this->maxReportedEpoch, vitals.leaderEpoch, vitals.knownEpoch, message.zoneLeader.epoch });
     if (message.zoneLeader.epoch > this->currentLeader.epoch)
@@ -176,18 +186,20 @@
         this->currentLeader = { vitals.leaderEpoch, message.sender.incarnation, message.sender.peerAddress() };
 }
 
-auto Membership::mergeMember(HostEntry entry, TimePoint now) -> void
+auto Membership::mergeMember(HostEntry entry, const std::string& from, TimePoint now) -> void
 {
     if (entry.incarnation == this->own.incarnation)
         return;
     entry.zone = this->own.zone;
-    auto [place, isNew] = this->members.try_emplace(entry.incarnation, Member { entry, now });
+    auto [place, isNew] = this->members.try_emplace(entry.incarnation, Member { entry, now, from });
     this->isViewStale |= isNew;
     auto& known = place->second;
     if (isNew || (entry.counter <= known.entry.counter && entry.revision <= known.entry.revision))
         return;
-    if (entry.counter > known.entry.counter)
+    if (entry.counter > known.entry.counter) {
         known.heardAt = now;
+        known.heardFrom = from;
+    }
     if (entry.revision >= known.entry.revision) {
         entry.counter = std::max(entry.counter, known.entry.counter);
         known.entry = std::move(entry);
@@ -195,15 +207,17 @@
     this->isViewStale = true;
 }
 
-auto Membership::mergeSummary(const ZoneSummary& summary, TimePoint now) -> void
+auto Membership::mergeSummary(const ZoneSummary& summary, const std::string& from, TimePoint now) -> void
 {
-    auto [place, isNew] = this->zones.try_emplace(zoneId(summary.zone), Zone { summary, now });
+    auto [place, isNew] = this->zones.try_emplace(zoneId(summary.zone), Zone { summary, now, from });
     this->isViewStale |= isNew;
     auto& known = place->second;
     if (isNew || (summary.counter <= known.summary.counter && summary.revision <= known.summary.revision))
         return;
-    if (summary.counter > known.summary.counter)
+    if (summary.counter > known.summary.counter) {
         known.heardAt = now;
+        known.heardFrom = from;
+    }
     if (summary.revision >= known.summary.revision) {
         const auto counter = std::max(summary.counter, known.summary.counter);
         known.summary = summary;
@@ -230,6 +244,7 @@
             continue;
         known.entry.counter = digest.counter;
         known.heardAt = now;
+        known.heardFrom = message.sender.ip;
         this->isViewStale = true;
     }
 }
@@ -249,6 +264,7 @@
             continue;
         known.summary.counter = digest.counter;
         known.heardAt = now;
+        known.heardFrom = message.sender.ip;
         this->isViewStale = true;
     }
 }
@@ -282,14 +298,37 @@
         return;
     this->isViewStale = false;
     this->viewsUpdatedAt = now;
+    this->refreshPeers(now);
+    this->refreshRemote(now);
+}
+
+auto Membership::refreshPeers(TimePoint now) -> void
+{
     const auto suspectAfter = this->suspectLimit();
     this->livePeers.clear();
-    for (const auto& [incarnation, member] : this->members) {
-        if (member.entry.isLive() && now - member.heardAt < suspectAfter)
+    for (auto& [incarnation, member] : this->members) {
+        const auto wasListed = member.isListed;
+        member.isListed = member.entry.isLive() && now - member.heardAt < suspectAfter;
+        if (member.isListed)
             this->livePeers.push_back(member.entry);
+        if (member.isListed == wasListed)
+            continue;
+        LogEvent(LogLevel::Info, member.isListed ? "host-listed" : "host-unlisted")
+            .with("host", member.entry.ip)
+            .with("incarnation", incarnation)
+            .with("state", hostStateName(member.entry.state))
+            .with("counter", member.entry.counter)
+            .with("heard_ms", milliseconds(now - member.heardAt))
+            .with("heard_from", member.heardFrom)
+            .with("contact_ms", member.contactAt == TimePoint {} ? -1 : milliseconds(now - member.contactAt))
+            .with("limit_ms", milliseconds(suspectAfter));
     }
+}
+
+auto Membership::refreshRemote(TimePoint now) -> void
+{
     const auto removeAfter = this->zoneLimit();
-    this->liveRemote.clear();
+    auto previous = std::exchange(this->liveRemote, {});
     for (const auto& [id, zone] : this->zones) {
         if (zone.summary.zone == this->own.zone || now - zone.heardAt >= removeAfter)
             continue;
@@ -298,6 +337,28 @@
             this->liveRemote.push_back(std::move(host));
         }
     }
+    if (!std::ranges::equal(previous, this->liveRemote, {}, &HostEntry::incarnation, &HostEntry::incarnation))
+        this->logUnlistedRemote(previous, now);
+}
+
+auto Membership::logUnlistedRemote(const std::vector<HostEntry>& previous, TimePoint now) const -> void
+{
+    auto incarnations = std::set<std::uint64_t> {};
+    for (const auto& host : this->liveRemote)
+        incarnations.insert(host.incarnation);
+    for (const auto& host : previous) {
+        if (incarnations.contains(host.incarnation))
+            continue;
+        const auto zone = this->zones.find(zoneId(host.zone));
+        const auto isKnown = zone != this->zones.end();
+        LogEvent(LogLevel::Info, "remote-host-unlisted")
+            .with("host", host.ip)
+            .with("zone", host.zone)
+            .with("heard_ms", isKnown ? milliseconds(now - zone->second.heardAt) : -1)
+            .with("heard_from", isKnown ? zone->second.heardFrom : std::string {})
+            .with("revision", isKnown ? zone->second.summary.revision : 0)
+            .with("limit_ms", milliseconds(this->zoneLimit()));
+    }
 }
 
 auto Membership::isPublisher() const -> bool
